--- /dev/null
+++ b/damsonstream/bench/__main__.py
@@ -0,0 +1,86 @@
+"""Hosts gateways on the bench's wire: batches on standard input, replies on standard output."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterable
+from typing import TextIO
+
+from damsonstream.bench import codec
+from damsonstream.core.router import Router
+
+
+class Gateway:
+    """One instance: its router and the names of its delivery services."""
+
+    def __init__(self) -> None:
+        self.router = Router()
+        self.services: dict[str, int] = {}
+
+
+def host(lines: Iterable[str], out: TextIO) -> None:
+    gateways: dict[str, Gateway] = {}
+    source = iter(lines)
+    now, frame = 0, ""
+    reply: list[str] = []
+    in_batch = False
+    for raw in source:
+        line = raw.rstrip("\r\n")
+        if not line:
+            continue
+        name, parts = codec.split(line)
+        if name == "BEGIN_BATCH":
+            if in_batch:
+                raise codec.WireError("BEGIN_BATCH inside a batch")
+            now, frame, in_batch, reply = int(parts["ts"]) // codec.US, parts["frame"], True, []
+            continue
+        if not in_batch:
+            raise codec.WireError(f"line outside a batch: {line[:60]!r}")
+        if name == "GO":
+            out.write("".join(f"{text}\n" for text in reply) + f"NEXT frame={frame}\n")
+            out.flush()
+            in_batch = False
+            continue
+        if name not in codec.EVENTS:
+            raise codec.WireError(f"unknown event {name!r}")
+        who = parts["gateway"]
+        if name == "ENLIST":
+            gateways[who] = Gateway()
+        if who not in gateways:
+            raise codec.WireError(f"{name} for an unknown instance {who!r}")
+        if name == "RETIRE":
+            del gateways[who]
+            continue
+        entries: list[codec.i.Entry] = []
+        for _ in range(int(parts.get("items", 0)) if name == "DIRECTORY_UPDATE" else 0):
+            tag, fields = codec.split(next(source, "").rstrip("\r\n"))
+            if tag != "M":
+                raise codec.WireError(f"list entry expected, got {tag!r}")
+            entries.append(codec.entry(fields))
+        gateway = gateways[who]
+        event = codec.event(name, parts, tuple(entries), gateway.services)
+        if event is None:
+            continue
+        try:
+            actions = gateway.router.handle(now, event)
+        except Exception as fault:  # the wire has an action for it: the day ends with this text
+            text = " ".join(f"{type(fault).__name__}: {fault}".split())
+            reply.append(f"INTERNAL_ERROR gateway={who} bodyText={text}")
+            import traceback
+
+            traceback.print_exc()
+            continue
+        reply.extend(codec.action(who, action) for action in actions)
+
+
+def main() -> int:
+    try:
+        host(sys.stdin, sys.stdout)
+    except (codec.WireError, KeyError, ValueError) as fault:
+        print(f"malformed wire: {type(fault).__name__}: {fault}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/damsonstream/core/interface.py
@@ -0,0 +1,183 @@
+"""Types that pass in and out of the router. Nothing is decided here.
+
+Times are whole tenths of a millisecond, on a clock that only goes forward.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, frozen=True)
+class DeliveryService:
+    """One delivery service as told at start."""
+
+    name: str
+    objective: int  # latency objective
+    stretch: float  # the objective grows by so many times the sending time
+    viewer_timeout: int
+    revenue: float
+    late_share: float
+    effect: str  # idempotent, tokened or non-idempotent
+    scope: str  # of tokened ones: all, zone or cell
+    remembered: int  # of tokened ones: how long a repeat is known
+    streamed: bool
+    fresh: int  # 0: until purged
+    grace: int  # how much older than fresh may be asked for
+    passes: bool  # never kept, runs at the origin
+
+
+@dataclass(slots=True, frozen=True)
+class Footprint:
+    """What a gateway is told at start of the system it stands in."""
+
+    services: tuple[DeliveryService, ...]
+    location: str
+    gateways: int
+    location_gateways: int
+    models: tuple[str, ...]
+    parent_model: str
+    origin_model: str
+    weights: str  # none, nominal, rough or live
+    ask_for_list: bool
+    ask_within: int
+    client_kb_per_s: float
+    notes: str  # all, hit or none
+    joins: bool
+    direct: bool
+    tick: int
+    cancel: bool
+    second_copies: bool
+    retry_after: bool
+    max_forwards: int
+    max_retry_after: int
+    cold_share: float
+    cold_for: int
+    cold_multiple: float
+    cold_span: int
+    parent_cold_share: float
+    parent_cold_for: int
+    parent_cold_multiple: float
+    purge_settles: int
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """One line of the list of caches."""
+
+    cache: str
+    location: str
+    state: str  # active, leaving or left
+    units: float
+    cell: int
+    model: str
+    since: int  # clock time of its last start, 0: long ago
+
+
+@dataclass(slots=True, frozen=True)
+class Started:
+    seed: int
+    footprint: Footprint
+
+
+@dataclass(slots=True, frozen=True)
+class ListTold:
+    kind: str  # changes, full, cached or lost
+    entries: tuple[Entry, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class GetTaken:
+    get: int
+    left: int
+    service: int  # place in Footprint.services
+    thing: str  # the object
+    group: int
+    size_kb: float  # 0: not told
+    repeated: bool  # the client marked it as its own repeat
+
+
+@dataclass(slots=True, frozen=True)
+class Purged:
+    thing: str  # empty: the whole group
+    group: int
+    age: int
+
+
+@dataclass(slots=True, frozen=True)
+class ClientLeft:
+    get: int
+
+
+@dataclass(slots=True, frozen=True)
+class AnswerStarted:
+    get: int
+    leg: int
+
+
+@dataclass(slots=True, frozen=True)
+class ForwardEnded:
+    get: int
+    leg: int
+    cache: str
+    result: str  # returned, errored, shed, expired, unreached, broken, recalled, unsent or lacking
+    took: int
+    first_byte: int  # 0: not told
+    note: int  # 0: not told
+    over: bool
+    load: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class Woken:
+    pass
+
+
+Event = Started | ListTold | GetTaken | Purged | ClientLeft | AnswerStarted | ForwardEnded | Woken
+
+
+@dataclass(slots=True, frozen=True)
+class Forward:
+    get: int
+    cache: str
+    source: str  # the cache itself: nothing is filled
+    rank: int
+    patience: int  # 0: until the viewer timeout
+    age: int  # oldest copy that will do, 0: the fresh time
+    join: bool
+    renew: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Recall:
+    get: int
+    leg: int
+
+
+@dataclass(slots=True, frozen=True)
+class Shed:
+    get: int
+    come_back: int  # 0: no advice
+
+
+@dataclass(slots=True, frozen=True)
+class Errored:
+    get: int
+
+
+@dataclass(slots=True, frozen=True)
+class Wake:
+    after: int
+
+
+@dataclass(slots=True, frozen=True)
+class AskForList:
+    pass
+
+
+@dataclass(slots=True, frozen=True)
+class Trace:
+    text: str
+
+
+Action = Forward | Recall | Shed | Errored | Wake | AskForList | Trace
