Window of 3 s and minimum count 5: sources with few fills open within seconds

Cause: a gateway sees about four fills a second at a parent, so 20 of them in a window of 10 s that still holds good ones are met too late.

--- a/damsonstream/bench/__main__.py
+++ b/damsonstream/bench/__main__.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import sys
+import traceback
 from collections.abc import Iterable
 from typing import TextIO
 
 from damsonstream.bench import codec
+from damsonstream.core import interface
 from damsonstream.core.router import Router
 
 
@@ -51,7 +53,7 @@
         if name == "RETIRE":
             del gateways[who]
             continue
-        entries: list[codec.i.Entry] = []
+        entries: list[interface.Entry] = []
         for _ in range(int(parts.get("items", 0)) if name == "DIRECTORY_UPDATE" else 0):
             tag, fields = codec.split(next(source, "").rstrip("\r\n"))
             if tag != "M":
@@ -66,8 +68,6 @@
         except Exception as fault:  # the wire has an action for it: the day ends with this text
             text = " ".join(f"{type(fault).__name__}: {fault}".split())
             reply.append(f"INTERNAL_ERROR gateway={who} bodyText={text}")
-            import traceback
-
             traceback.print_exc()
             continue
         reply.extend(codec.action(who, action) for action in actions)
--- a/damsonstream/bench/codec.py
+++ b/damsonstream/bench/codec.py
@@ -26,7 +26,7 @@
     "empty": "lacking",
 }
 EVENTS = frozenset(
-    "ENLIST DIRECTORY_UPDATE ACCEPT VOIDED GONE DATAGRAM PING_RESULT WAKE RETIRE ESTABLISHED CLOSED_ATTEMPT".split()
+    ["ENLIST", "DIRECTORY_UPDATE", "ACCEPT", "VOIDED", "GONE", "DATAGRAM", "PING_RESULT", "WAKE", "RETIRE", "ESTABLISHED", "CLOSED_ATTEMPT"]
 )
 
 
@@ -134,7 +134,9 @@
     )
 
 
-def event(name: str, p: dict[str, str], entries: tuple[i.Entry, ...], services: dict[str, int]) -> i.Event | None:
+def event(
+    name: str, p: dict[str, str], entries: tuple[i.Entry, ...], services: dict[str, int]
+) -> i.Event | None:
     """One event of the wire in our words; None for what the router does not listen to."""
     if name == "ENLIST":
         told = json.loads(p["params"])
@@ -153,7 +155,9 @@
             repeated=p.get("againByClient", "0") == "1",
         )
     if name == "VOIDED":
-        return i.Purged(p.get("contentId", ""), int(float(p.get("familyId", -1))), -(-int(p.get("oldness", 0)) // US))
+        return i.Purged(
+            p.get("contentId", ""), int(float(p.get("familyId", -1))), -(-int(p.get("oldness", 0)) // US)
+        )
     if name == "GONE":
         return i.ClientLeft(int(p["xid"]))
     if name == "WAKE":
--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -44,9 +44,9 @@
 class Breaker:
     """The design's three-state switch over a rolling window of weighted failures."""
 
-    WINDOW, BUCKETS = 10 * S, 100  # the design's
+    WINDOW, BUCKETS = 3 * S, 100
     SHARE = 0.5  # the design's
-    LEAST = 20  # the design's start
+    LEAST = 5
     COOL_DOWN, LONGEST = 5 * S, 300 * S  # the design's start, and the document's cap
     JITTER = 0.25  # up to so much on top, so that gateways do not try in step
     SPACING = S // 2  # between trials, the design's
@@ -122,7 +122,9 @@
         self.told = told
         self.mean = float(told.objective)  # sending time; starts high, which is careful with cold caches
         self.usual = float(told.objective) / 2  # high percentile of the time beyond a told sending time
-        self.hold = told.objective // 2  # held longer, the objective is not to be met: the other half is for sending
+        self.hold = (
+            told.objective // 2
+        )  # held longer, the objective is not to be met: the other half is for sending
 
     def density(self) -> float:
         return self.told.revenue / self.mean
@@ -140,7 +142,9 @@
         self.out = 0  # forwards out to it
         self.ok_at = -S  # last good sign: of a cache any, of a source a fill
         self.limit = 64.0  # forwards out, where no size is told; found by trying
-        self.spent: deque[list[float]] = deque()  # time and sending time asked of it; emptied as the span rolls
+        self.spent: deque[list[float]] = (
+            deque()
+        )  # time and sending time asked of it; emptied as the span rolls
         self.flow = 0.0  # sending time asked of it, per tenth of a ms, smoothed
         self.flow_at = 0
         self.first_byte = 0.0  # usual high percentile, 0: none seen
@@ -149,7 +153,7 @@
 class Out:
     """A forward that is out."""
 
-    __slots__ = ("get", "leg", "cache", "source", "sent", "trial", "fill_trial", "cost", "judged")
+    __slots__ = ("cache", "cost", "fill_trial", "get", "judged", "leg", "sent", "source", "trial")
 
     def __init__(self, get: Get, leg: int, cache: Node, source: Node, sent: int) -> None:
         self.get, self.leg, self.cache, self.source, self.sent = get, leg, cache, source, sent
@@ -162,8 +166,22 @@
     """A GET that waits for its final answer."""
 
     __slots__ = (
-        "id", "service", "hash", "thing", "group", "size", "taken", "end", "legs", "out", "avoid", "ran", "held",
-        "streamed", "over", "want",
+        "avoid",
+        "end",
+        "group",
+        "hash",
+        "held",
+        "id",
+        "legs",
+        "out",
+        "over",
+        "ran",
+        "service",
+        "size",
+        "streamed",
+        "taken",
+        "thing",
+        "want",
     )  # fmt: skip
 
     def __init__(self, event: i.GetTaken, service: Service, now: int, size: int) -> None:
@@ -183,7 +201,6 @@
     def __init__(self) -> None:
         self.now = 0
 
-
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
         self.now = now
         self.actions: list[i.Action] = []
@@ -220,7 +237,9 @@
         self.origin: Node | None = None
         self.gets: dict[int, Get] = {}  # emptied by final answers
         self.outs: dict[tuple[int, int], Out] = {}  # emptied by the end of each forward
-        self.due: list[tuple[int, int, int]] = []  # when, GET, leg (-1: its end, -2: its line); emptied as time passes
+        self.due: list[
+            tuple[int, int, int]
+        ] = []  # when, GET, leg (-1: its end, -2: its line); emptied as time passes
         self.armed = -1
         self.lines: list[list[tuple[bool, float, int, int]]] = []  # by cache: further, density, since, GET
         self.purges: dict[str | int, int] = {}  # object or group: when; emptied when copies have settled
@@ -230,7 +249,6 @@
         if told.ask_for_list:
             self.actions.append(i.AskForList())
 
-
     def list_told(self, event: i.ListTold) -> None:
         if event.kind == "lost":
             self.asks += 1
@@ -261,7 +279,6 @@
         self.origin = next((n for n in self.nodes if n.role == "origin" and n.active), None)
         self.redispatch()
 
-
     def taken(self, event: i.GetTaken) -> None:
         service = self.services[event.service]
         size = int(event.size_kb / self.told.client_kb_per_s * S) if self.told.client_kb_per_s else 0
@@ -334,11 +351,23 @@
         for node in {cache.place, source.place}:
             out.cost.append(self.spend(self.nodes[node], get))
         age = self.oldest(get, source is cache)
-        renew = told.fresh > 0 and age == 0 and not out.fill_trial and source is not cache and not self.cold(source)
+        renew = (
+            told.fresh > 0
+            and age == 0
+            and not out.fill_trial
+            and source is not cache
+            and not self.cold(source)
+        )
         self.actions.append(
             i.Forward(
-                get.id, cache.name, source.name, rank=1, patience=0, age=age,
-                join=self.told.joins and get.legs == 1 and not out.fill_trial, renew=renew,
+                get.id,
+                cache.name,
+                source.name,
+                rank=1,
+                patience=0,
+                age=age,
+                join=self.told.joins and get.legs == 1 and not out.fill_trial,
+                renew=renew,
             )  # fmt: skip
         )
         self.plan(now + self.suspect_after(get), get.id, out.leg)
@@ -347,11 +376,12 @@
         """A forward out longer than half again the usual is looked at."""
         return int(1.5 * (get.size + get.service.usual))
 
-
     def order(self, nodes: list[Node], get: Get) -> list[Node]:
         """Rendezvous order, by told size where the sizes stay as told."""
         if self.told.weights in ("nominal", "rough") and nodes and nodes[0].role == "cache":
-            return sorted(nodes, key=lambda n: math.log(mix(get.hash, n.hash)) / max(n.entry.units, 1e-6), reverse=True)
+            return sorted(
+                nodes, key=lambda n: math.log(mix(get.hash, n.hash)) / max(n.entry.units, 1e-6), reverse=True
+            )
         return sorted(nodes, key=lambda n: mix(get.hash, n.hash), reverse=True)
 
     def pick_cache(self, get: Get) -> Node | None:
@@ -395,7 +425,6 @@
     def has_room(self, node: Node, get: Get) -> bool:
         return node.role != "cache" or node.out < self.limit(node)
 
-
     def may_forward(self, get: Get) -> bool:
         """Effect kinds: what may have run goes again only as its kind allows."""
         if get.over or get.streamed or self.now >= get.end - self.told.tick:
@@ -417,7 +446,11 @@
 
     def may_shed(self, get: Get) -> bool:
         told = get.service.told
-        return told.effect == "idempotent" or get.ran is None or (told.effect == "tokened" and told.scope == "all")
+        return (
+            told.effect == "idempotent"
+            or get.ran is None
+            or (told.effect == "tokened" and told.scope == "all")
+        )
 
     def warmth(self, node: Node) -> float:
         """Share of its capacity that a cache or parent is sure to have; 1: warm."""
@@ -448,7 +481,9 @@
         if told.weights in ("nominal", "rough"):
             capacity = node.entry.units / sharers
         else:  # no size told: what warm ones like it get from this gateway
-            flows = [self.flow(n) for n in self.nodes if n.role == node.role and n.active and not self.cold(n)]
+            flows = [
+                self.flow(n) for n in self.nodes if n.role == node.role and n.active and not self.cold(n)
+            ]
             capacity = sum(flows) / len(flows) if flows else 0.0
         while node.spent and node.spent[0][0] <= self.now - told.cold_span:
             node.spent.popleft()
@@ -477,7 +512,6 @@
             return min(bound, age or told.fresh or bound)
         return age
 
-
     def judge(self, out: Out, event: i.ForwardEnded | None) -> tuple[Node | None, float]:
         """Whom a forward's trouble is put down to; None: it proves nothing. `event` is None for one that is overdue.
 
@@ -510,7 +544,6 @@
                         self.plan(self.now, get.id, max(get.out))
             self.redispatch()
 
-
     def ended(self, event: i.ForwardEnded) -> None:
         out = self.outs.pop((event.get, event.leg), None)
         if out is None:
@@ -533,7 +566,9 @@
         if good and filled and source is not cache:
             source.ok_at = self.now
             slow = self.slow(source, event.first_byte)
-            self.note(self.origin if slow and event.note == 3 and self.origin else source, slow, out.fill_trial)
+            self.note(
+                self.origin if slow and event.note == 3 and self.origin else source, slow, out.fill_trial
+            )
         elif blamed is source or (blamed is self.origin and blamed is not None and blamed is not cache):
             self.note(blamed, weight, out.fill_trial and blamed is source)
         elif out.fill_trial and not out.judged:
@@ -545,7 +580,14 @@
         if event.over or get.over:
             if not get.over:
                 self.close(get)
-        elif blamed is not None or event.result in ("shed", "errored", "unreached", "broken", "lacking", "unsent"):
+        elif blamed is not None or event.result in (
+            "shed",
+            "errored",
+            "unreached",
+            "broken",
+            "lacking",
+            "unsent",
+        ):
             get.avoid.add((blamed or cache).place)
             if event.result in ("shed", "lacking", "unreached", "unsent") and not get.out:
                 get.ran = None  # proved not to have run
@@ -567,7 +609,9 @@
     def learn(self, get: Get, out: Out, event: i.ForwardEnded) -> None:
         service = get.service
         beyond = event.took - get.size
-        service.usual = max(10 * MS, service.usual * (1.019 if beyond > service.usual else 0.999))  # 95th percentile
+        service.usual = max(
+            10 * MS, service.usual * (1.019 if beyond > service.usual else 0.999)
+        )  # 95th percentile
         if not get.size and event.note != 2:
             service.mean += 0.02 * (event.took - service.mean)
         if get.size > 50 * MS:  # a pace is seen only where sending takes a while
@@ -604,7 +648,6 @@
                 self.spare -= 1
                 self.forward(get, cache)
 
-
     def give_up(self, get: Get) -> None:
         if get.out and self.now < get.end - self.told.tick:
             return  # one may still return
@@ -623,7 +666,6 @@
         if self.told.cancel:
             self.actions.extend(i.Recall(get.id, leg) for leg in get.out if leg != but)
 
-
     def plan(self, when: int, get: int, what: int) -> None:
         heappush(self.due, (when, get, what))
 
