Look first at crowded sources; a slow origin is told from slow parents

Cause: with a slow origin every parent timed out and opened, and all misses were shed. Fills that run out of time at a parent that gives others, or with no other parent Closed, are put down to the origin they share; while the origin is slow or Open parents give only what they hold.

--- a/damsonstream/bench/codec.py
+++ b/damsonstream/bench/codec.py
@@ -184,7 +184,7 @@
     head = f"gateway={gateway}"
     match a:
         case i.Forward():
-            opts = (1 if a.join else 0) + (8 if a.renew else 0)
+            opts = (1 if a.join else 0) + (2 if a.copies else 0) + (8 if a.renew else 0)
             return (
                 f"LOOK_AND_FILL {head} xid={a.get} holdRank={a.rank} fillFrom={a.source} patience={a.patience * US} "
                 f"oldness={a.age * US} cache={a.cache} opts={opts}"
--- a/damsonstream/core/interface.py
+++ b/damsonstream/core/interface.py
@@ -146,6 +146,7 @@
     age: int  # oldest copy that will do, 0: the fresh time
     join: bool
     renew: bool
+    copies: bool  # the source gives only what it holds
 
 
 @dataclass(slots=True, frozen=True)
--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -1,14 +1,15 @@
 """All decisions of one gateway.
 
-How it is called: `Router().handle(now, event)` takes what happened and returns what is to be done, in order. The
-first event is Started. Types of events and actions: `damsonstream.core.interface`. Nothing is shared between routers.
-Times are whole tenths of a millisecond. docs/design.md tells the design's words (Closed, Open, Half-Open, trial).
+How it is called: `Router().handle(now, event)` takes what happened and returns what is to be done, in order; the
+first event is Started. Its interface, the types of events and actions: `damsonstream/core/interface.py`. Routers
+share nothing. Times are whole tenths of a millisecond. docs/design.md explains the design's words (Closed, trial).
 """
 
 from __future__ import annotations
 
 import math
 from collections import deque
+from dataclasses import dataclass, field
 from hashlib import blake2b
 from heapq import heappop, heappush
 
@@ -44,9 +45,9 @@
 class Breaker:
     """The design's three-state switch over a rolling window of weighted failures."""
 
-    WINDOW, BUCKETS = 3 * S, 100
+    WINDOW, BUCKETS = 3 * S, 100  # 10 s in the design: too long to outweigh earlier good fills (docs/design.md)
+    LEAST = 5  # 20 in the design: a gateway sees a few fills a second at each source
     SHARE = 0.5  # the design's
-    LEAST = 5
     COOL_DOWN, LONGEST = 5 * S, 300 * S  # the design's start, and the document's cap
     JITTER = 0.25  # up to so much on top, so that gateways do not try in step
     SPACING = S // 2  # between trials, the design's
@@ -57,11 +58,9 @@
         self.reset()
 
     def reset(self) -> None:
-        self.state = "Closed"
-        self.cool_down = self.COOL_DOWN
+        self.state, self.cool_down = "Closed", self.COOL_DOWN
         self.until = 0  # of Open: end of the cool-down; of Half-Open: when the next trial may go
-        self.trying = False
-        self.good = 0
+        self.trying, self.good = False, 0
         self.buckets: deque[list[float]] = deque()  # start, count, failures; emptied as the window rolls
         self.count = self.failures = 0.0
 
@@ -70,26 +69,18 @@
             self.state, self.good, self.trying = "Half-Open", 0, False
         return self.state == "Closed" or (self.state == "Half-Open" and not self.trying and now >= self.until)
 
-    def trial_sent(self) -> None:
-        self.trying = True
-
-    def trial_void(self) -> None:
-        """The trial proved nothing (a hit, say): the next may go at once."""
-        self.trying = False
-
     def note(self, now: int, weight: float, trial: bool) -> str:
         """Enters a finished fill (weight 0: good); returns the new state where it changes."""
         if self.state == "Half-Open" and trial:
-            self.trying = False
-            self.until = now + self.SPACING
+            self.trying, self.until = False, now + self.SPACING
             if weight >= 1:
                 self.cool_down = min(2 * self.cool_down, self.LONGEST)
                 return self.open(now)
             self.good += 1
-            if self.good >= self.MAJORITY:
-                self.reset()
-                return "Closed"
-            return ""
+            if self.good < self.MAJORITY:
+                return ""
+            self.reset()
+            return "Closed"
         if self.state != "Closed":
             return ""
         start = now - now % (self.WINDOW // self.BUCKETS)
@@ -97,19 +88,14 @@
             self.buckets.append([start, 0.0, 0.0])
         self.buckets[-1][1] += 1
         self.buckets[-1][2] += weight
-        self.count += 1
-        self.failures += weight
+        self.count, self.failures = self.count + 1, self.failures + weight
         while self.buckets[0][0] <= now - self.WINDOW:
             _, count, failures = self.buckets.popleft()
-            self.count -= count
-            self.failures -= failures
-        if self.count >= self.LEAST and self.failures > self.SHARE * self.count:
-            return self.open(now)
-        return ""
+            self.count, self.failures = self.count - count, self.failures - failures
+        return self.open(now) if self.count >= self.LEAST and self.failures > self.SHARE * self.count else ""
 
     def open(self, now: int) -> str:
-        cool_down = self.cool_down
-        self.state, self.until = "Open", now + int(cool_down * (1 + self.JITTER * self.chance.draw()))
+        self.state, self.until = "Open", now + int(self.cool_down * (1 + self.JITTER * self.chance.draw()))
         self.buckets.clear()
         self.count = self.failures = 0.0
         return "Open"
@@ -121,12 +107,11 @@
     def __init__(self, told: i.DeliveryService) -> None:
         self.told = told
         self.mean = float(told.objective)  # sending time; starts high, which is careful with cold caches
-        self.usual = float(told.objective) / 2  # high percentile of the time beyond a told sending time
-        self.hold = (
-            told.objective // 2
-        )  # held longer, the objective is not to be met: the other half is for sending
+        self.usual = told.objective / 2  # 95th percentile of the time beyond a told sending time
+        self.hold = told.objective // 2  # held longer, no time is left to send within the objective
 
     def density(self) -> float:
+        """Revenue for each unit of sending time: in a line, what earns more goes first."""
         return self.told.revenue / self.mean
 
 
@@ -134,73 +119,58 @@
     """A cache, parent or origin of the list."""
 
     def __init__(self, place: int, entry: i.Entry, role: str, chance: Chance) -> None:
-        self.place, self.name, self.role = place, entry.cache, role
+        self.place, self.entry, self.role, self.name = place, entry, role, entry.cache
         self.hash = digest(entry.cache)
         self.breaker = Breaker(chance)
-        self.entry = entry
         self.active = False
-        self.out = 0  # forwards out to it
+        self.out = 0  # forwards out to it, or naming it as source
+        self.limit = 64.0  # of those; found by trying
         self.ok_at = -S  # last good sign: of a cache any, of a source a fill
-        self.limit = 64.0  # forwards out, where no size is told; found by trying
-        self.spent: deque[list[float]] = (
-            deque()
-        )  # time and sending time asked of it; emptied as the span rolls
-        self.flow = 0.0  # sending time asked of it, per tenth of a ms, smoothed
-        self.flow_at = 0
+        self.spent: deque[list[float]] = deque()  # time and sending time asked of it; emptied as the span rolls
+        self.flow, self.flow_at = 0.0, 0  # sending time asked of it in a tenth of a ms, smoothed
         self.first_byte = 0.0  # usual high percentile, 0: none seen
 
 
-class Out:
-    """A forward that is out."""
-
-    __slots__ = ("cache", "cost", "fill_trial", "get", "judged", "leg", "sent", "source", "trial")
-
-    def __init__(self, get: Get, leg: int, cache: Node, source: Node, sent: int) -> None:
-        self.get, self.leg, self.cache, self.source, self.sent = get, leg, cache, source, sent
-        self.trial = self.fill_trial = False
-        self.cost: list[list[float]] = []
-        self.judged = False
-
-
+@dataclass(slots=True, eq=False)
 class Get:
     """A GET that waits for its final answer."""
 
-    __slots__ = (
-        "avoid",
-        "end",
-        "group",
-        "hash",
-        "held",
-        "id",
-        "legs",
-        "out",
-        "over",
-        "ran",
-        "service",
-        "size",
-        "streamed",
-        "taken",
-        "thing",
-        "want",
-    )  # fmt: skip
-
-    def __init__(self, event: i.GetTaken, service: Service, now: int, size: int) -> None:
-        self.id, self.service, self.size = event.get, service, size
-        self.hash, self.thing, self.group = digest(event.thing), event.thing, event.group
-        self.taken, self.end = now, now + event.left
-        self.legs = 0
-        self.out: dict[int, Out] = {}
-        self.avoid: set[int] = set()
-        self.ran: tuple[int, Node] | None = None  # first forward that may have run
-        self.held = -1  # since when, -1: not held
-        self.streamed = self.over = False
-        self.want = 0  # place of the cache in whose line it is held
+    id: int
+    service: Service
+    hash: int
+    thing: str
+    group: int
+    size: int  # told sending time, 0: not told
+    end: int
+    legs: int = 0
+    out: dict[int, Out] = field(default_factory=dict)
+    avoid: set[int] = field(default_factory=set)
+    ran: tuple[int, Node] | None = None  # first forward that may have run
+    held: int = -1  # since when, -1: not held
+    want: int = 0  # place of the cache in whose line it is held
+    lacked: int = 0  # 1: its cache has no copy, only a fill helps; 2: nor has its parent, only the origin helps
+    streamed: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Out:
+    """A forward that is out."""
 
+    get: Get
+    leg: int
+    cache: Node
+    source: Node  # the cache itself: nothing is filled
+    sent: int
+    cache_trial: bool
+    source_trial: bool
+    cost: list[float]  # entry in the source's `spent`
+    copies: bool  # the source gives only what it holds
+    through: Node | None  # the origin, behind a parent known to lack the object
+    origin_trial: bool
+    judged: bool = False
 
-class Router:
-    def __init__(self) -> None:
-        self.now = 0
 
+class Router:
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
         self.now = now
         self.actions: list[i.Action] = []
@@ -227,9 +197,8 @@
         return self.actions
 
     def start(self, event: i.Started) -> None:
-        told = self.told = event.footprint
-        self.chance = Chance(event.seed)
-        self.services = [Service(service) for service in told.services]
+        self.told, self.chance = event.footprint, Chance(event.seed)
+        self.services = [Service(service) for service in self.told.services]
         self.places: dict[str, Node] = {}  # every cache ever listed; as long as the site's list
         self.nodes: list[Node] = []
         self.caches: list[Node] = []
@@ -237,43 +206,39 @@
         self.origin: Node | None = None
         self.gets: dict[int, Get] = {}  # emptied by final answers
         self.outs: dict[tuple[int, int], Out] = {}  # emptied by the end of each forward
-        self.due: list[
-            tuple[int, int, int]
-        ] = []  # when, GET, leg (-1: its end, -2: its line); emptied as time passes
+        self.due: list[tuple[int, int, int]] = []  # when, GET, leg (or END, LINE, ASK); emptied as time passes
         self.armed = -1
-        self.lines: list[list[tuple[bool, float, int, int]]] = []  # by cache: further, density, since, GET
+        self.lines: list[list[tuple[bool, float, int, int]]] = []  # by cache: further, -density, since, GET
         self.purges: dict[str | int, int] = {}  # object or group: when; emptied when copies have settled
         self.swept = 0
         self.spare = 10.0  # further forwards that may still go
         self.asks = 0
-        if told.ask_for_list:
+        self.sized = self.told.weights in ("nominal", "rough")
+        if self.told.ask_for_list:
             self.actions.append(i.AskForList())
 
     def list_told(self, event: i.ListTold) -> None:
         if event.kind == "lost":
             self.asks += 1
             wait = min(S << min(self.asks, 6), max(S, self.told.ask_within // 8))
-            self.plan(self.now + int(wait * (0.5 + self.chance.draw())), 0, -3)
-            return
+            return self.plan(self.now + int(wait * (0.5 + self.chance.draw())), 0, ASK)
         self.asks = 0
-        listed = set()
         for entry in event.entries:
             node = self.places.get(entry.cache)
             if node is None:
                 role = "cache" if entry.location == self.told.location else ""
-                role = "parent" if entry.model == self.told.parent_model and self.told.parent_model else role
-                role = "origin" if entry.model == self.told.origin_model else role
+                role = {self.told.parent_model: "parent", self.told.origin_model: "origin"}.get(entry.model, role)
                 node = self.places[entry.cache] = Node(len(self.nodes), entry, role, self.chance)
                 self.nodes.append(node)
                 self.lines.append([])
-            elif entry.since != node.entry.since and entry.since:
+            elif entry.since and entry.since != node.entry.since:
                 node.breaker.reset()  # a new process: what was seen of the old one says nothing
-            node.entry = entry
-            node.active = entry.state == "active"
-            listed.add(node.place)
+                node.limit = 64.0
+            node.entry, node.active = entry, entry.state == "active"
         if event.kind in ("full", "cached"):
+            listed = {entry.cache for entry in event.entries}
             for node in self.nodes:
-                node.active = node.active and node.place in listed
+                node.active = node.active and node.name in listed
         self.caches = [n for n in self.nodes if n.role == "cache" and n.active]
         self.parents = [n for n in self.nodes if n.role == "parent" and n.active]
         self.origin = next((n for n in self.nodes if n.role == "origin" and n.active), None)
@@ -284,28 +249,23 @@
         size = int(event.size_kb / self.told.client_kb_per_s * S) if self.told.client_kb_per_s else 0
         if size:
             service.mean += 0.02 * (size - service.mean)
-        get = Get(event, service, self.now, size)
-        self.gets[get.id] = get
-        self.spare = min(20.0, self.spare + 0.2)
-        # final answer in time: one tick before the client leaves, so that the answer is never late
-        self.plan(max(self.now, get.end - self.told.tick), get.id, -1)
+        thing, group, end = event.thing, event.group, self.now + event.left - self.told.tick
+        # a final answer in time: one tick before the client leaves, so that it is never late
+        get = self.gets[event.get] = Get(event.get, service, digest(thing), thing, group, size, end)
+        self.spare = min(20.0, self.spare + 0.2)  # a fifth of the GETs, and a small stock
+        self.plan(get.end, get.id, END)
         self.dispatch(get)
 
     def dispatch(self, get: Get) -> None:
-        """First forward, or a further one: sends, holds in line, or gives up."""
-        if get.legs >= self.told.max_forwards or not self.may_forward(get):
-            return self.give_up(get)
-        cache = self.pick_cache(get)
+        """First forward or a further one: goes out, is held in line, or the GET is given up."""
+        cache = self.pick_cache(get) if self.may_forward(get) else None
         if cache is None:
             return self.give_up(get)
-        if not self.has_room(cache, get):
-            return self.hold(get, cache)
-        self.forward(get, cache)
-
-    def hold(self, get: Get, cache: Node) -> None:
+        if self.room(get, cache):
+            return self.forward(get, cache)
         if get.held < 0:
             get.held = self.now
-            self.plan(min(self.now + get.service.hold, get.end - self.told.tick), get.id, -2)
+            self.plan(min(self.now + get.service.hold, get.end), get.id, LINE)
         get.want = cache.place
         heappush(self.lines[cache.place], (get.legs > 0, -get.service.density(), get.held, get.id))
 
@@ -313,13 +273,11 @@
         line = self.lines[cache.place]
         while line:
             get = self.gets.get(line[0][3])
-            if get is None or get.held < 0 or get.want != cache.place:
-                heappop(line)
-                continue
-            if not self.has_room(cache, get) or self.pick_cache(get) is not cache:
-                return
+            if get is not None and get.held >= 0 and get.want == cache.place:
+                if not self.room(get, cache) or self.pick_cache(get) is not cache:
+                    return
+                self.forward(get, cache)
             heappop(line)
-            self.forward(get, cache)
 
     def redispatch(self) -> None:
         """Held GETs look for a cache again, after a change of the list or of a breaker."""
@@ -334,123 +292,109 @@
     def forward(self, get: Get, cache: Node) -> None:
         now, told = self.now, get.service.told
         source = self.pick_source(get, cache)
-        out = Out(get, get.legs, cache, source, now)
-        get.legs += 1
-        get.held = -1
+        copies, through, origin_trial = False, None, False
+        if source is not cache and not told.passes:
+            if not get.lacked and source.out >= source.limit:
+                source = cache  # a crowded source: look first, and ask it only for what is lacking
+            copies = source.role == "parent" and get.lacked < 2 and self.strained()
+        cache_trial, source_trial = (n.breaker.state != "Closed" for n in (cache, source))
+        cache.breaker.trying |= cache_trial
+        source.breaker.trying |= source_trial
+        cost = self.spend(cache, get)
+        if source is not cache:
+            cost = self.spend(source, get)
+            source.out += 1
+            if get.lacked == 2 and self.origin and source is not self.origin:
+                through = self.origin
+                through.out += 1
+                origin_trial = through.breaker.state != "Closed"
+                through.breaker.trying |= origin_trial
+        cache.out += 1
+        out = Out(get, get.legs, cache, source, now, cache_trial, source_trial and source is not cache, cost, copies, through, origin_trial)
+        get.legs, get.held = get.legs + 1, -1
         if told.effect != "idempotent" and get.ran is None:
             get.ran = (now, cache)
-        get.out[out.leg] = out
-        self.outs[get.id, out.leg] = out
-        cache.out += 1
-        out.trial = cache.breaker.state != "Closed"
-        if out.trial:
-            cache.breaker.trial_sent()
-        out.fill_trial = source is not cache and source.breaker.state != "Closed"
-        if out.fill_trial:
-            source.breaker.trial_sent()
-        for node in {cache.place, source.place}:
-            out.cost.append(self.spend(self.nodes[node], get))
+        get.out[out.leg] = self.outs[get.id, out.leg] = out
         age = self.oldest(get, source is cache)
-        renew = (
-            told.fresh > 0
-            and age == 0
-            and not out.fill_trial
-            and source is not cache
-            and not self.cold(source)
-        )
-        self.actions.append(
-            i.Forward(
-                get.id,
-                cache.name,
-                source.name,
-                rank=1,
-                patience=0,
-                age=age,
-                join=self.told.joins and get.legs == 1 and not out.fill_trial,
-                renew=renew,
-            )  # fmt: skip
-        )
-        self.plan(now + self.suspect_after(get), get.id, out.leg)
-
-    def suspect_after(self, get: Get) -> int:
-        """A forward out longer than half again the usual is looked at."""
+        renew = told.fresh > 0 and not age and source is not cache and not source_trial and self.warmth(source) >= 1
+        join = self.told.joins and out.leg == 0 and not source_trial
+        self.actions.append(i.Forward(get.id, cache.name, source.name, 1, 0, age, join, renew, copies))
+        self.plan(now + self.overdue(get), get.id, out.leg)
+
+    def strained(self) -> bool:
+        """The origin is slow or Open: parents give only what they hold, and what they lack waits for room there."""
+        return self.origin is not None and (self.origin.limit < 32 or self.origin.breaker.state != "Closed")
+
+    def overdue(self, get: Get) -> int:
+        """A forward out for longer than half again the usual is looked at."""
         return int(1.5 * (get.size + get.service.usual))
 
     def order(self, nodes: list[Node], get: Get) -> list[Node]:
-        """Rendezvous order, by told size where the sizes stay as told."""
-        if self.told.weights in ("nominal", "rough") and nodes and nodes[0].role == "cache":
-            return sorted(
-                nodes, key=lambda n: math.log(mix(get.hash, n.hash)) / max(n.entry.units, 1e-6), reverse=True
-            )
+        """Rendezvous order; caches by their told size, where one is told that stays."""
+        if self.sized and nodes and nodes[0].role == "cache":
+            return sorted(nodes, key=lambda n: math.log(mix(get.hash, n.hash)) / max(n.entry.units, 1e-6), reverse=True)
         return sorted(nodes, key=lambda n: mix(get.hash, n.hash), reverse=True)
 
     def pick_cache(self, get: Get) -> Node | None:
-        first = None
+        """The object's home; a crowded one (a hot object, say) spills in hash order to a cache with ample room."""
+        home = None
         for node in self.order(self.caches, get):
-            if node.place in get.avoid or not self.usable(node, get) or not self.keeps_scope(get, node):
-                continue
-            if first is None:
-                first = node
-                if self.has_room(node, get):
+            if self.usable(node, get) and self.keeps_scope(get, node):
+                if home is None and node.out < self.limit(node):
+                    return node
+                if home is not None and node.out <= 0.5 * self.limit(node):
                     return node
-            elif node.out <= 0.5 * self.limit(node):
-                # a crowded home (a hot object, say) spills in hash order, only to a cache with ample room
-                return node
-        if first is None and self.told.direct:
+                home = home or node
+        if home is None and self.told.direct:
             return next((n for n in self.sources(get) if self.keeps_scope(get, n)), None)
-        return first
+        return home
 
     def sources(self, get: Get) -> list[Node]:
-        """Parents in hash order, then the origin, as far as breakers and cold budgets allow."""
-        found = [n for n in self.order(self.parents, get) if n.place not in get.avoid and self.usable(n, get)]
-        if self.origin and self.origin.place not in get.avoid and self.origin.breaker.allows(self.now):
-            found.append(self.origin)
-        return found
+        """Closed parents in hash order over all listed, then the origin, as far as cold budgets allow."""
+        origin = [self.origin] if self.origin else []
+        return [n for n in self.order(self.parents, get) + origin if self.usable(n, get)]
 
     def pick_source(self, get: Get, cache: Node) -> Node:
-        if cache.role != "cache":
-            return cache
-        return next(iter(self.sources(get)), cache)
+        return next(iter(self.sources(get)), cache) if cache.role == "cache" else cache
 
     def usable(self, node: Node, get: Get) -> bool:
-        return node.breaker.allows(self.now) and self.cold_room(node, get)
+        return node.place not in get.avoid and node.breaker.allows(self.now) and self.cold_room(node, get)
 
     def limit(self, node: Node) -> float:
-        """Forwards out at which a cache is full for this gateway: three to a told transfer keep a third of the pace,
-        which the stretch of the objective still bears; each gateway takes its part."""
-        if self.told.weights in ("nominal", "rough"):
+        """Forwards out at which a cache is full for this gateway. Three to a told transfer keep a third of the
+        pace, which the stretch of the objective just bears; each gateway of the location takes its part."""
+        if self.sized and node.role == "cache":
             return max(4.0, 3.0 * node.entry.units / self.told.location_gateways)
         return node.limit
 
-    def has_room(self, node: Node, get: Get) -> bool:
-        return node.role != "cache" or node.out < self.limit(node)
+    def room(self, get: Get, cache: Node) -> bool:
+        source = self.pick_source(get, cache) if get.lacked else cache
+        if get.lacked == 2 and self.origin:
+            if not self.origin.breaker.allows(self.now) or self.origin.out >= self.origin.limit:
+                return False
+        return cache.out < self.limit(cache) and (source is cache or source.out < source.limit)
 
     def may_forward(self, get: Get) -> bool:
         """Effect kinds: what may have run goes again only as its kind allows."""
-        if get.over or get.streamed or self.now >= get.end - self.told.tick:
+        told = get.service.told
+        if get.streamed or self.now >= get.end or get.legs >= self.told.max_forwards:
             return False
         if get.out and not self.told.second_copies:
             return False
-        told = get.service.told
         if get.ran is None or told.effect == "idempotent":
             return True
         return told.effect == "tokened" and self.now + self.told.tick < get.ran[0] + told.remembered
 
     def keeps_scope(self, get: Get, node: Node) -> bool:
-        if get.ran is None or get.service.told.scope == "all":
+        scope = get.service.told.scope
+        if get.ran is None or scope == "all":
             return True
-        before = get.ran[1].entry
-        if get.service.told.scope == "zone":
-            return node.entry.location == before.location
-        return node.entry.location == before.location and node.entry.cell == before.cell
+        ran = get.ran[1].entry
+        return node.entry.location == ran.location and (scope == "zone" or node.entry.cell == ran.cell)
 
     def may_shed(self, get: Get) -> bool:
         told = get.service.told
-        return (
-            told.effect == "idempotent"
-            or get.ran is None
-            or (told.effect == "tokened" and told.scope == "all")
-        )
+        return told.effect == "idempotent" or get.ran is None or (told.effect == "tokened" and told.scope == "all")
 
     def warmth(self, node: Node) -> float:
         """Share of its capacity that a cache or parent is sure to have; 1: warm."""
@@ -458,36 +402,29 @@
         share, lasts = told.cold_share, told.cold_for
         if node.role == "parent":
             share, lasts = told.parent_cold_share, told.parent_cold_for
-        age = self.now - node.entry.since
+        age = max(0, self.now - node.entry.since)
         if node.role == "origin" or not node.entry.since or age >= lasts:
             return 1.0
-        return share + (1 - share) * max(0, age) / lasts
-
-    def cold(self, node: Node) -> bool:
-        return self.warmth(node) < 1
+        return share + (1 - share) * age / lasts
 
     def cold_room(self, node: Node, get: Get) -> bool:
         """Cold budget. A cold cache or parent gets the objects of its warm share, the same at every gateway, and in
         any span no more than this gateway's part of what it can bear (against misses that come all at once)."""
-        warmth = self.warmth(node)
+        warmth, told = self.warmth(node), self.told
         if warmth >= 1:
             return True
         if mix(get.hash ^ 0x5DEECE66D, node.hash) > warmth:
             return False
-        told = self.told
         multiple, sharers = told.cold_multiple, told.location_gateways
         if node.role == "parent":
             multiple, sharers = told.parent_cold_multiple, told.gateways
-        if told.weights in ("nominal", "rough"):
-            capacity = node.entry.units / sharers
-        else:  # no size told: what warm ones like it get from this gateway
-            flows = [
-                self.flow(n) for n in self.nodes if n.role == node.role and n.active and not self.cold(n)
-            ]
+        capacity = node.entry.units / sharers
+        if not self.sized:  # no size told: what warm ones like it get from this gateway
+            flows = [self.flow(n) for n in self.nodes if n.role == node.role and n.active and self.warmth(n) >= 1]
             capacity = sum(flows) / len(flows) if flows else 0.0
         while node.spent and node.spent[0][0] <= self.now - told.cold_span:
             node.spent.popleft()
-        room = 0.6 * multiple * warmth * capacity * told.cold_span  # the rest is for chance
+        room = 0.6 * multiple * warmth * capacity * told.cold_span  # the rest is left to chance
         return sum(cost for _, cost in node.spent) + get.service.mean <= room
 
     def spend(self, node: Node, get: Get) -> list[float]:
@@ -495,53 +432,56 @@
         node.spent.append(cost)
         while node.spent[0][0] <= self.now - self.told.cold_span:
             node.spent.popleft()
-        node.flow = self.flow(node) + cost[1] / (3 * S)
-        node.flow_at = self.now
+        node.flow, node.flow_at = self.flow(node) + cost[1] / (3 * S), self.now
         return cost
 
     def flow(self, node: Node) -> float:
         return node.flow * math.exp((node.flow_at - self.now) / (3 * S))
 
     def oldest(self, get: Get, copies_only: bool) -> int:
-        """Purge: the oldest copy that will do; 0: as fresh as the delivery service wants."""
+        """Purge: the oldest copy that will do, until all copies have settled; 0: as fresh as the service wants."""
         told = get.service.told
-        purged = max(self.purges.get(get.thing, -1), self.purges.get(get.group, -1))
         age = told.fresh + told.grace if copies_only and told.fresh and told.grace else 0
+        purged = max(self.purges.get(get.thing, -1), self.purges.get(get.group, -1))
         if purged >= 0 and self.now - purged < self.told.purge_settles:
-            bound = max(1, self.now - purged)
-            return min(bound, age or told.fresh or bound)
+            return min(max(1, self.now - purged), age or told.fresh or MASK)
         return age
 
-    def judge(self, out: Out, event: i.ForwardEnded | None) -> tuple[Node | None, float]:
-        """Whom a forward's trouble is put down to; None: it proves nothing. `event` is None for one that is overdue.
+    def judge(self, out: Out, event: i.ForwardEnded | None) -> Node | None:
+        """Whom a forward's trouble is put down to; None: it proves nothing. `event` is None for one overdue.
 
         Where a note tells, the note holds. Else the one that gave no good sign meanwhile is at fault; where both
         gave some, neither; where neither did, the cache, so that a dead cache opens no source."""
+        cache, source, now = out.cache, out.source, self.now
         if event is not None:
             if event.note in (8, 9) or event.result in ("lacking", "unsent", "recalled"):
-                return None, 0.0
-            if event.note in (6, 7) and out.source is not out.cache:
-                return out.source, 1.0
+                return None
             if event.note == 10:
-                return self.origin, 1.0
+                return self.origin
+            if event.note in (6, 7) and source is not cache:
+                return self.waited(out) if event.took > S // 2 else source
             if event.result == "unreached":
-                return out.cache, 1.0
-        since = min(out.sent, self.now - S)
-        cache_ok, source_ok = out.cache.ok_at >= since, out.source.ok_at >= since
-        if not cache_ok:
-            return out.cache, 1.0
-        if not source_ok and out.source is not out.cache:
-            return out.source, 1.0
-        return None, 0.0
+                return cache
+        if cache.ok_at < min(out.sent, now - S):
+            return cache
+        if source is cache or source.ok_at >= min(out.sent, now - 2 * S):
+            return None
+        return source if event and event.result == "shed" and event.took < S // 2 else self.waited(out)
+
+    def waited(self, out: Out) -> Node | None:
+        """A fill that ran out of time at a parent which gave others, or with no other parent Closed: they share the
+        origin, so it is put down to that. Guards against a slow origin that opens every parent."""
+        others = any(n.breaker.state == "Closed" for n in self.parents if n is not out.source)
+        shared = out.source.role == "parent" and (out.source.ok_at >= out.sent or not others)
+        return self.origin if shared else out.source
 
     def note(self, node: Node, weight: float, trial: bool) -> None:
         change = node.breaker.note(self.now, weight, trial)
         if change:
             self.actions.append(i.Trace(f"{node.role} {node.name} {change}"))
-            if change == "Open":
-                for get in list(self.gets.values()):
-                    if any(node in (out.cache, out.source) for out in get.out.values()):
-                        self.plan(self.now, get.id, max(get.out))
+            for get in self.gets.values():  # those under way there are looked at now
+                if any(node in (out.cache, out.source) for out in get.out.values()):
+                    self.plan(self.now, get.id, max(get.out))
             self.redispatch()
 
     def ended(self, event: i.ForwardEnded) -> None:
@@ -551,114 +491,121 @@
         get, cache, source = out.get, out.cache, out.source
         get.out.pop(out.leg, None)
         cache.out -= 1
-        good = event.result == "returned"
+        good, alive = event.result == "returned", event.result in ("returned", "lacking")
         filled = event.note in (2, 3) or (good and self.told.notes == "none")
-        if good or event.result == "lacking":
+        blamed = None if good or out.judged else self.judge(out, event)
+        if alive:
             cache.ok_at = self.now
-        if good and not filled:
-            for cost in out.cost[1:]:
-                cost[1] = 0.0  # a hit asked nothing of the source
-        blamed, weight = (None, 0.0) if good or out.judged else self.judge(out, event)
-        if good or event.result == "lacking" or blamed is cache:
-            self.note(cache, weight if blamed is cache else 0.0, out.trial)
-        elif out.trial and not out.judged:
-            cache.breaker.trial_void()
-        if good and filled and source is not cache:
-            source.ok_at = self.now
-            slow = self.slow(source, event.first_byte)
-            self.note(
-                self.origin if slow and event.note == 3 and self.origin else source, slow, out.fill_trial
-            )
-        elif blamed is source or (blamed is self.origin and blamed is not None and blamed is not cache):
-            self.note(blamed, weight, out.fill_trial and blamed is source)
-        elif out.fill_trial and not out.judged:
-            source.breaker.trial_void()
+        if alive or blamed is cache:
+            self.note(cache, float(blamed is cache), out.cache_trial)
+        elif out.cache_trial and not out.judged:
+            cache.breaker.trying = False  # the trial proved nothing, the next may go
+        if source is not cache:
+            source.out -= 1
+            if out.through:
+                out.through.out -= 1
+            self.source_ended(out, event, blamed, good and filled)
         if good:
-            self.learn(get, out, event)
-        elif event.result == "shed" and blamed is not source:
+            self.learn(get, cache, event)
+        elif event.result == "shed" and blamed is not source and event.note != 9:
             cache.limit = max(2.0, min(cache.limit, cache.out + 1.0))
-        if event.over or get.over:
-            if not get.over:
-                self.close(get)
-        elif blamed is not None or event.result in (
-            "shed",
-            "errored",
-            "unreached",
-            "broken",
-            "lacking",
-            "unsent",
-        ):
-            get.avoid.add((blamed or cache).place)
+        if event.over:
+            self.close(get)
+        elif get.id in self.gets and not get.streamed:
             if event.result in ("shed", "lacking", "unreached", "unsent") and not get.out:
                 get.ran = None  # proved not to have run
-            self.further(get)
-        elif not get.out:
-            self.further(get)
-        self.drain_line(cache)
+            if event.result == "lacking" and (out.copies or (source is cache and not get.lacked)):
+                get.lacked = 2 if out.copies else 1
+                closed = self.origin is not None and self.origin.breaker.allows(self.now)
+                if self.pick_source(get, cache) is cache or (out.copies and not closed):
+                    self.give_up(get)
+                else:
+                    self.dispatch(get)
+            else:
+                get.avoid.add((blamed or cache).place)
+                if not get.out:
+                    self.further(get)
+        for node in self.caches if source is not cache else [cache]:
+            self.drain_line(node)
+
+    def source_ended(self, out: Out, event: i.ForwardEnded, blamed: Node | None, filled: bool) -> None:
+        """A source is judged by fills, not by hits."""
+        source, service, origin = out.source, out.get.service, out.through
+        if event.result == "returned" and not filled:
+            out.cost[1] = 0.0  # a hit asked nothing of it
+        late = event.took > service.told.objective + service.told.stretch * (out.get.size or service.mean)
+        slow = self.slow(source, event.first_byte) if filled else 0.0
+        if filled:
+            source.ok_at = self.now
+            if (event.note == 3 or origin) and self.origin:
+                self.note(self.origin, slow, out.origin_trial)
+            else:
+                self.note(source, slow, out.source_trial)
+        elif blamed is not None and blamed is not out.cache:
+            trial = out.source_trial if blamed is source else out.origin_trial
+            self.note(blamed, 1.0, trial)
+        for node, trial in ((source, out.source_trial), (origin, out.origin_trial)):
+            if node and trial and not out.judged and node.breaker.state == "Half-Open":
+                node.breaker.trying = False  # a hit proves nothing
+        if filled or (event.result in ("shed", "expired") and blamed is not source):
+            # a dead source is the breaker's matter; the limit answers one that works, but late
+            node = self.origin if self.origin and (event.note in (3, 10) or origin or blamed is self.origin) else source
+            if late or not filled:
+                node.limit = max(4.0, node.limit * 0.95)
+            elif node.out + 1 >= 0.8 * node.limit or event.note == 3:
+                node.limit = min(64.0, node.limit + 2 / node.limit)
 
     def slow(self, source: Node, first_byte: int) -> float:
-        """Half a failure where the first byte came later than this source's usual high percentile (95th)."""
+        """Half a failure where the first byte came later than this source's usual 95th percentile."""
         if not first_byte:
             return 0.0
-        if not source.first_byte:
-            source.first_byte = 2.0 * first_byte
-        late = first_byte > source.first_byte
-        source.first_byte *= 1.019 if late else 0.999
+        late = first_byte > (source.first_byte or 2 * first_byte)
+        source.first_byte = (source.first_byte or 2 * first_byte) * (1.019 if late else 0.999)
         return 0.5 if late else 0.0
 
-    def learn(self, get: Get, out: Out, event: i.ForwardEnded) -> None:
-        service = get.service
-        beyond = event.took - get.size
-        service.usual = max(
-            10 * MS, service.usual * (1.019 if beyond > service.usual else 0.999)
-        )  # 95th percentile
+    def learn(self, get: Get, cache: Node, event: i.ForwardEnded) -> None:
+        service, beyond = get.service, event.took - get.size
+        # steps that balance at the 95th percentile
+        service.usual = max(10 * MS, service.usual * (1.019 if beyond > service.usual else 0.999))
         if not get.size and event.note != 2:
             service.mean += 0.02 * (event.took - service.mean)
         if get.size > 50 * MS:  # a pace is seen only where sending takes a while
-            cache = out.cache
             if event.took > 3 * get.size + service.told.objective // 4:
                 cache.limit = max(4.0, cache.limit * 0.98)
             elif cache.out + 1 >= 0.8 * cache.limit:
                 cache.limit += 1 / cache.limit
 
     def further(self, get: Get) -> None:
-        """A further forward, if none is out, its kind allows it and spare ones are left (against retry storms)."""
-        if get.out or get.id not in self.gets or get.streamed:
-            return
-        if self.spare < 1 or get.legs >= 4:
+        """A further forward, while spare ones are left (against retry storms)."""
+        if self.spare < 1:
             return self.give_up(get)
         self.spare -= 1
         self.dispatch(get)
 
     def look(self, get: Get, out: Out) -> None:
         """An overdue forward: who is at fault, and would a second copy help?"""
-        if not out.judged:
-            blamed, weight = self.judge(out, None)
-            if blamed is not None:
-                out.judged = True
-                get.avoid.add(blamed.place)
-                self.note(blamed, weight, out.trial if blamed is out.cache else out.fill_trial)
-        bad = out.judged or any(n.breaker.state == "Open" for n in (out.cache, out.source))
-        if not bad:
-            self.plan(self.now + self.suspect_after(get), get.id, out.leg)
-        elif len(get.out) == 1 and get.legs < 4 and self.spare >= 1 and get.legs < self.told.max_forwards:
-            idempotent = get.service.told.effect == "idempotent"
-            cache = self.pick_cache(get) if idempotent and self.may_forward(get) else None
-            if cache is not None and self.has_room(cache, get):
-                self.spare -= 1
-                self.forward(get, cache)
+        blamed = None if out.judged else self.judge(out, None)
+        if blamed is not None:
+            out.judged = True
+            get.avoid.add(blamed.place)
+            self.note(blamed, 1.0, out.cache_trial if blamed is out.cache else out.source_trial)
+        if not out.judged and all(n.breaker.state == "Closed" for n in (out.cache, out.source)):
+            return self.plan(self.now + self.overdue(get), get.id, out.leg)
+        if len(get.out) > 1 or self.spare < 1 or get.service.told.effect != "idempotent":
+            return
+        cache = self.pick_cache(get) if self.may_forward(get) else None
+        if cache is not None and self.room(get, cache):
+            self.spare -= 1
+            self.forward(get, cache)
 
     def give_up(self, get: Get) -> None:
-        if get.out and self.now < get.end - self.told.tick:
+        if get.out and self.now < get.end:
             return  # one may still return
-        if self.may_shed(get):
-            self.actions.append(i.Shed(get.id, self.told.max_retry_after if self.told.retry_after else 0))
-        else:
-            self.actions.append(i.Errored(get.id))
+        come_back = self.told.max_retry_after if self.told.retry_after else 0
+        self.actions.append(i.Shed(get.id, come_back) if self.may_shed(get) else i.Errored(get.id))
         self.close(get)
 
     def close(self, get: Get) -> None:
-        get.over = True
         self.gets.pop(get.id, None)
         self.recall(get, -1)
 
@@ -672,26 +619,27 @@
     def run_due(self) -> None:
         while self.due and self.due[0][0] <= self.now:
             _, gid, what = heappop(self.due)
-            if what == -3:
-                self.actions.append(i.AskForList())
-                continue
             get = self.gets.get(gid)
-            if get is None or get.streamed:
+            if what == ASK:
+                self.actions.append(i.AskForList())
+            elif get is None or get.streamed:
                 continue
-            if what == -1 or (what == -2 and 0 <= get.held <= self.now - get.service.hold):
+            elif what == END or (what == LINE and 0 <= get.held <= self.now - get.service.hold):
                 self.give_up(get)
-            elif what >= 0 and (out := get.out.get(what)):
+            elif out := get.out.get(what):
                 self.look(get, out)
+        waiting = any(self.lines)
         if self.now - self.swept >= S // 10:
             self.swept = self.now
             settled = self.now - self.told.purge_settles
-            if self.purges:
-                self.purges = {key: when for key, when in self.purges.items() if when > settled}
-            if any(self.lines):
+            self.purges = {key: when for key, when in self.purges.items() if when > settled}
+            if waiting:
                 self.redispatch()
-        when = self.due[0][0] if self.due else -1
-        if any(self.lines):
-            when = min(when, self.now + S // 10) if when >= 0 else self.now + S // 10
-        if when >= 0 and (self.armed <= self.now or when < self.armed):
+        when = min([self.due[0][0]] if self.due else [], default=self.now + S)
+        when = min(when, self.now + S // 10) if waiting else when
+        if (self.due or waiting) and (self.armed <= self.now or when < self.armed):
             self.armed = when
             self.actions.append(i.Wake(max(1, when - self.now)))
+
+
+END, LINE, ASK = -1, -2, -3  # what is due besides a look at a leg
