--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -125,7 +125,8 @@
         self.active = False
         self.out = 0  # forwards out to it, or naming it as source
         self.limit = 64.0  # of those; found by trying
-        self.ok_at = -S  # last good sign: of a cache any, of a source a fill
+        self.run = 0  # troubles since its last good sign (of a cache any answer, of a source a fill)
+        self.ok_at = -S  # last good fill
         self.spent: deque[list[float]] = deque()  # time and sending time asked of it; emptied as the span rolls
         self.flow, self.flow_at = 0.0, 0  # sending time asked of it in a tenth of a ms, smoothed
         self.first_byte = 0.0  # usual high percentile, 0: none seen
@@ -323,7 +324,9 @@
 
     def strained(self) -> bool:
         """The origin is slow or Open: parents give only what they hold, and what they lack waits for room there."""
-        return self.origin is not None and (self.origin.limit < 32 or self.origin.breaker.state != "Closed")
+        if self.origin is None or self.told.notes != "all":
+            return False  # what fails behind a parent is not told: too little to act on
+        return self.origin.limit < 32 or self.origin.breaker.state != "Closed"
 
     def overdue(self, get: Get) -> int:
         """A forward out for longer than half again the usual is looked at."""
@@ -450,9 +453,9 @@
     def judge(self, out: Out, event: i.ForwardEnded | None) -> Node | None:
         """Whom a forward's trouble is put down to; None: it proves nothing. `event` is None for one overdue.
 
-        Where a note tells, the note holds. Else the one that gave no good sign meanwhile is at fault; where both
-        gave some, neither; where neither did, the cache, so that a dead cache opens no source."""
-        cache, source, now = out.cache, out.source, self.now
+        Where a note tells, the note holds. Else the one with the longer run of troubles since its last good sign is
+        at fault; in doubt the cache, so that a dead cache or location opens no source."""
+        cache, source = out.cache, out.source
         if event is not None:
             if event.note in (8, 9) or event.result in ("lacking", "unsent", "recalled"):
                 return None
@@ -462,18 +465,20 @@
                 return self.waited(out) if event.took > S // 2 else source
             if event.result == "unreached":
                 return cache
-        if cache.ok_at < min(out.sent, now - S):
-            return cache
-        if source is cache or source.ok_at >= min(out.sent, now - 2 * S):
-            return None
-        return source if event and event.result == "shed" and event.took < S // 2 else self.waited(out)
+        cache.run += 1
+        if self.told.notes != "all" and cache.run <= 2:  # a dead cache says nothing of its sources
+            source.run += source is not cache
+        if source is not cache and source.run > max(1, cache.run):
+            return source if event and event.result == "shed" and event.took < S // 2 else self.waited(out)
+        return cache if cache.run > 2 else None
 
     def waited(self, out: Out) -> Node | None:
         """A fill that ran out of time at a parent which gave others, or with no other parent Closed: they share the
         origin, so it is put down to that. Guards against a slow origin that opens every parent."""
         others = any(n.breaker.state == "Closed" for n in self.parents if n is not out.source)
-        shared = out.source.role == "parent" and (out.source.ok_at >= out.sent or not others)
-        return self.origin if shared else out.source
+        if out.source.role != "parent" or (others and out.source.ok_at < out.sent):
+            return out.source
+        return self.origin if self.told.notes == "all" else None
 
     def note(self, node: Node, weight: float, trial: bool) -> None:
         change = node.breaker.note(self.now, weight, trial)
@@ -495,11 +500,11 @@
         filled = event.note in (2, 3) or (good and self.told.notes == "none")
         blamed = None if good or out.judged else self.judge(out, event)
         if alive:
-            cache.ok_at = self.now
+            cache.run = 0
         if alive or blamed is cache:
             self.note(cache, float(blamed is cache), out.cache_trial)
-        elif out.cache_trial and not out.judged:
-            cache.breaker.trying = False  # the trial proved nothing, the next may go
+        if out.cache_trial:
+            cache.breaker.trying = False  # also where it proved nothing
         if source is not cache:
             source.out -= 1
             if out.through:
@@ -508,7 +513,7 @@
         if good:
             self.learn(get, cache, event)
         elif event.result == "shed" and blamed is not source and event.note != 9:
-            cache.limit = max(2.0, min(cache.limit, cache.out + 1.0))
+            cache.limit = max(8.0, min(cache.limit, cache.out + 1.0) * 0.95)
         if event.over:
             self.close(get)
         elif get.id in self.gets and not get.streamed:
@@ -536,7 +541,7 @@
         late = event.took > service.told.objective + service.told.stretch * (out.get.size or service.mean)
         slow = self.slow(source, event.first_byte) if filled else 0.0
         if filled:
-            source.ok_at = self.now
+            source.ok_at, source.run = self.now, 0
             if (event.note == 3 or origin) and self.origin:
                 self.note(self.origin, slow, out.origin_trial)
             else:
@@ -545,8 +550,8 @@
             trial = out.source_trial if blamed is source else out.origin_trial
             self.note(blamed, 1.0, trial)
         for node, trial in ((source, out.source_trial), (origin, out.origin_trial)):
-            if node and trial and not out.judged and node.breaker.state == "Half-Open":
-                node.breaker.trying = False  # a hit proves nothing
+            if node and trial:
+                node.breaker.trying = False  # also where it proved nothing, as a hit does
         if filled or (event.result in ("shed", "expired") and blamed is not source):
             # a dead source is the breaker's matter; the limit answers one that works, but late
             node = self.origin if self.origin and (event.note in (3, 10) or origin or blamed is self.origin) else source
@@ -585,11 +590,11 @@
     def look(self, get: Get, out: Out) -> None:
         """An overdue forward: who is at fault, and would a second copy help?"""
         blamed = None if out.judged else self.judge(out, None)
+        out.judged = True
         if blamed is not None:
-            out.judged = True
             get.avoid.add(blamed.place)
             self.note(blamed, 1.0, out.cache_trial if blamed is out.cache else out.source_trial)
-        if not out.judged and all(n.breaker.state == "Closed" for n in (out.cache, out.source)):
+        if blamed is None and all(n.breaker.state == "Closed" for n in (out.cache, out.source)):
             return self.plan(self.now + self.overdue(get), get.id, out.leg)
         if len(get.out) > 1 or self.spare < 1 or get.service.told.effect != "idempotent":
             return
