--- a/damsonstream/bench/codec.py
+++ b/damsonstream/bench/codec.py
@@ -25,8 +25,8 @@
     "unused": "unsent",
     "empty": "lacking",
 }
-EVENTS = frozenset(["ENLIST", "DIRECTORY_UPDATE", "ACCEPT", "VOIDED", "GONE", "DATAGRAM", "PING_RESULT", "WAKE", "RETIRE"])
-EVENTS |= {"ESTABLISHED", "CLOSED_ATTEMPT"}
+EVENTS = {"ENLIST", "DIRECTORY_UPDATE", "ACCEPT", "VOIDED", "GONE", "DATAGRAM", "PING_RESULT", "WAKE"}
+EVENTS |= {"RETIRE", "ESTABLISHED", "CLOSED_ATTEMPT"}
 
 
 class WireError(Exception):
