--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -123,7 +123,7 @@
         self.breaker = Breaker(chance)
         self.active = False
         self.out = 0  # forwards out to it, or naming it as source
-        self.limit = 64.0  # of those; found by trying
+        self.limit = 24.0 if role == "cache" else 64.0  # of those; found by trying
         self.run = 0  # troubles since its last good sign (of a cache any answer, of a source a fill)
         self.ok_at = -S  # last good fill
         self.spent: deque[list[float]] = deque()  # when, sending time asked of it; emptied as the span rolls
@@ -359,7 +359,7 @@
         """Forwards out at which a cache is full for this gateway. Three to a told transfer keep a third of
         the pace, which the objective's stretch just bears; each gateway of the location takes its part."""
         if self.sized and node.role == "cache":
-            return max(4.0, 3.0 * node.entry.units / self.told.location_gateways)
+            return max(4.0, 2.0 * node.entry.units / self.told.location_gateways)
         return node.limit
 
     def room(self, get: Get, cache: Node) -> bool:
@@ -561,11 +561,11 @@
         service.usual = max(10 * MS, service.usual * (1.019 if beyond > service.usual else 0.999))
         if not get.size and event.note != 2:
             service.mean += 0.02 * (event.took - service.mean)
-        if get.size > 50 * MS:  # a pace is seen only where sending takes a while
-            if event.took > 3 * get.size + service.told.objective // 4:
-                cache.limit = max(4.0, cache.limit * 0.98)
+        if get.size and event.note in (0, 1):
+            if event.took > service.told.objective + service.told.stretch * get.size:
+                cache.limit = max(4.0, cache.limit * 0.95)
             elif cache.out + 1 >= 0.8 * cache.limit:
-                cache.limit += 1 / cache.limit
+                cache.limit += 4 / cache.limit
 
     def further(self, get: Get) -> None:
         """A further forward, while spare ones are left (against retry storms)."""
