--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -335,9 +335,7 @@
         home = None
         for node in self.order(self.caches, get):
             if self.usable(node, get) and self.keeps_scope(get, node):
-                if home is None and node.out < self.limit(node):
-                    return node
-                if home is not None and node.out <= 0.5 * self.limit(node):
+                if node.out < (0.6 if home is None else 0.3) * self.limit(node):
                     return node
                 home = home or node
         if home is None and self.told.direct:
@@ -359,7 +357,7 @@
         """Forwards out at which a cache is full for this gateway. Three to a told transfer keep a third of
         the pace, which the objective's stretch just bears; each gateway of the location takes its part."""
         if self.sized and node.role == "cache":
-            return max(4.0, 2.0 * node.entry.units / self.told.location_gateways)
+            return max(4.0, 3.0 * node.entry.units * self.warmth(node) / self.told.location_gateways)
         return node.limit
 
     def room(self, get: Get, cache: Node) -> bool:
