--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -335,7 +335,7 @@
         home = None
         for node in self.order(self.caches, get):
             if self.usable(node, get) and self.keeps_scope(get, node):
-                if node.out < (0.6 if home is None else 0.3) * self.limit(node):
+                if node.out < (0.6 if home is None else 0.2) * self.limit(node):
                     return node
                 home = home or node
         if home is None and self.told.direct:
@@ -466,10 +466,14 @@
     def waited(self, out: Out) -> Node | None:
         """A fill that ran out of time at a parent which gave others, or with no other parent Closed: they
         share the origin, so it is put down to that. Guards against a slow origin that opens every parent."""
-        others = any(n.breaker.state == "Closed" for n in self.parents if n is not out.source)
-        if out.copies or out.source.role != "parent" or (others and out.source.ok_at < out.sent):
-            return out.source
-        return self.origin if self.told.notes == "all" else None
+        all_told, source = self.told.notes == "all", out.source
+        sources = self.parents if all_told else [n for n in (*self.parents, self.origin) if n]
+        others = any(n.breaker.state == "Closed" for n in sources if n is not source)
+        if not all_told:
+            return source if others else None  # the last one Closed is not opened by silence
+        if out.copies or source.role != "parent" or (others and source.ok_at < out.sent):
+            return source
+        return self.origin
 
     def note(self, node: Node, weight: float, trial: bool) -> None:
         change = node.breaker.note(self.now, weight, trial)
