--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -322,8 +322,8 @@
         return self.origin.limit < 32 or self.origin.breaker.state != "Closed"
 
     def overdue(self, get: Get) -> int:
-        """A forward out for longer than half again the usual is looked at."""
-        return int(1.5 * (get.size + get.service.usual))
+        """When a forward is looked at: past the usual, half again where a large object may be the reason."""
+        return int((1.0 if get.size else 1.5) * (get.size + get.service.usual))
 
     def order(self, nodes: list[Node], get: Get) -> list[Node]:
         """Rendezvous order; caches by their told size, where one is told that stays."""
@@ -335,7 +335,7 @@
         home = None
         for node in self.order(self.caches, get):
             if self.usable(node, get) and self.keeps_scope(get, node):
-                if node.out < (0.6 if home is None else 0.2) * self.limit(node):
+                if node.out < (0.8 if home is None else 0.3) * self.limit(node):
                     return node
                 home = home or node
         if home is None and self.told.direct:
@@ -357,7 +357,7 @@
         """Forwards out at which a cache is full for this gateway. Three to a told transfer keep a third of
         the pace, which the objective's stretch just bears; each gateway of the location takes its part."""
         if self.sized and node.role == "cache":
-            return max(4.0, 3.0 * node.entry.units * self.warmth(node) / self.told.location_gateways)
+            return max(5.0, 2.2 * node.entry.units * self.warmth(node) / self.told.location_gateways)
         return node.limit
 
     def room(self, get: Get, cache: Node) -> bool:
@@ -565,7 +565,7 @@
             service.mean += 0.02 * (event.took - service.mean)
         if get.size and event.note in (0, 1):
             if event.took > service.told.objective + service.told.stretch * get.size:
-                cache.limit = max(4.0, cache.limit * 0.95)
+                cache.limit = max(5.0, cache.limit * 0.9)
             elif cache.out + 1 >= 0.8 * cache.limit:
                 cache.limit += 4 / cache.limit
 
