--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -595,7 +595,7 @@
     def give_up(self, get: Get) -> None:
         if get.out and self.now < get.end:
             return  # one may still return
-        come_back = self.told.max_retry_after if self.told.retry_after else 0
+        come_back = min(get.service.told.objective // 5, self.told.max_retry_after) if self.told.retry_after else 0
         self.actions.append(i.Shed(get.id, come_back) if self.may_shed(get) else i.Errored(get.id))
         self.close(get)
 
