--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -109,9 +109,7 @@
         self.mean = float(told.objective)  # sending time; starts high, which is careful with cold caches
         self.usual = told.objective / 2  # 95th percentile of the time beyond a told sending time
         self.hold = told.objective // 4  # held longer, no time is left to send within the objective
-
-    def density(self) -> float:  # revenue for a unit of sending time: in a line, the most goes first
-        return self.told.revenue / self.mean
+        self.longest = 0  # time left to a GET, as its client came
 
 
 class Node:
@@ -142,6 +140,7 @@
     group: int
     size: int  # told sending time, 0: not told
     end: int
+    density: float  # revenue for a unit of sending time: in a line, the most goes first
     legs: int = 0
     out: dict[int, Out] = field(default_factory=dict)
     avoid: set[int] = field(default_factory=set)
@@ -211,6 +210,7 @@
         self.swept = 0
         self.spare = 10.0  # further forwards that may still go
         self.asks = 0
+        self.density = 0.0  # usual revenue for a unit of sending time
         self.sized = self.told.weights in ("nominal", "rough")
         if self.told.ask_for_list:
             self.actions.append(i.AskForList())
@@ -250,7 +250,13 @@
             service.mean += 0.02 * (size - service.mean)
         thing, group, end = event.thing, event.group, self.now + event.left - self.told.tick
         # a final answer in time: one tick before the client leaves, so that it is never late
-        get = self.gets[event.get] = Get(event.get, service, digest(thing), thing, group, size, end)
+        service.longest = max(service.longest, event.left)
+        # a client's further try has less time left: told so, its latency objective may be past already
+        gone = service.told.viewer_timeout - event.left if event.left < 0.98 * service.longest else 0
+        revenue = service.told.revenue * (service.told.late_share if gone > service.told.objective else 1.0)
+        density = revenue / (size or service.mean)
+        self.density += 0.02 * (density - self.density)
+        get = self.gets[event.get] = Get(event.get, service, digest(thing), thing, group, size, end, density)
         self.spare = min(20.0, self.spare + 0.2)  # a fifth of the GETs, and a small stock
         self.plan(get.end, get.id, END)
         self.dispatch(get)
@@ -266,7 +272,7 @@
             get.held = self.now
             self.plan(min(self.now + get.service.hold, get.end), get.id, LINE)
         get.want = cache.place
-        heappush(self.lines[cache.place], (get.legs > 0, -get.service.density(), get.held, get.id))
+        heappush(self.lines[cache.place], (get.legs > 0, -get.density, get.held, get.id))
 
     def drain_line(self, cache: Node) -> None:
         line = self.lines[cache.place]
@@ -365,7 +371,9 @@
         origin = self.origin if get.lacked == 2 else None
         if origin and (not origin.breaker.allows(self.now) or origin.out >= origin.limit):
             return False
-        return cache.out < self.limit(cache) and (source is cache or source.out < source.limit)
+        # what earns less for its sending time leaves the last fifth to what earns more
+        part = 1.0 if get.density > self.density else 0.8
+        return cache.out < part * self.limit(cache) and (source is cache or source.out < source.limit)
 
     def may_forward(self, get: Get) -> bool:
         """Effect kinds: what may have run goes again only as its kind allows."""
