A later forward known not to have run no longer hides an earlier one that may have

Also a reading pass: straight ways go by the origin, first limits stand in one place, further forwards folded into the end of a forward.

--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -17,6 +17,8 @@
 
 MASK = (1 << 64) - 1
 MS, S = 10, 10_000
+END, LINE, ASK = -1, -2, -3  # what is due besides a look at a leg
+LIMITS = (64.0, 24.0)  # first limits of a source and a cache: above what warm ones need, soon cut when late
 
 
 class Chance:
@@ -121,7 +123,7 @@
         self.breaker = Breaker(chance)
         self.active = False
         self.out = 0  # forwards out to it, or naming it as source
-        self.limit = 24.0 if role == "cache" else 64.0  # of those; found by trying
+        self.limit = LIMITS[role == "cache"]  # of those; found by trying
         self.run = 0  # troubles since its last good sign (of a cache any answer, of a source a fill)
         self.ok_at = -S  # last good fill
         self.spent: deque[list[float]] = deque()  # when, sending time asked of it; emptied as the span rolls
@@ -221,23 +223,20 @@
             wait = min(S << min(self.asks, 6), max(S, self.told.ask_within // 8))
             return self.plan(self.now + int(wait * (0.5 + self.chance.draw())), 0, ASK)
         self.asks = 0
+        for node in self.nodes:
+            node.active &= event.kind == "changes"  # what a full list lacks is gone
         for entry in event.entries:
-            node = self.places.get(entry.cache)
-            if node is None:
-                here = "cache" if entry.location == self.told.location else ""
+            if entry.cache not in self.places:
                 roles = {self.told.parent_model: "parent", self.told.origin_model: "origin"}
-                role = roles.get(entry.model, here)
-                node = self.places[entry.cache] = Node(len(self.nodes), entry, role, self.chance)
-                self.nodes.append(node)
+                role = roles.get(entry.model, "cache" if entry.location == self.told.location else "")
+                self.places[entry.cache] = Node(len(self.nodes), entry, role, self.chance)
+                self.nodes.append(self.places[entry.cache])
                 self.lines.append([])
-            elif entry.since and entry.since != node.entry.since:
+            node = self.places[entry.cache]
+            if entry.since and entry.since != node.entry.since:
                 node.breaker.reset()  # a new process: what was seen of the old one says nothing
-                node.limit = 64.0
+                node.limit = LIMITS[node.role == "cache"]
             node.entry, node.active = entry, entry.state == "active"
-        if event.kind in ("full", "cached"):
-            listed = {entry.cache for entry in event.entries}
-            for node in self.nodes:
-                node.active = node.active and node.name in listed
         self.caches = [n for n in self.nodes if n.role == "cache" and n.active]
         self.parents = [n for n in self.nodes if n.role == "parent" and n.active]
         self.origin = next((n for n in self.nodes if n.role == "origin" and n.active), None)
@@ -248,8 +247,8 @@
         size = int(event.size_kb / self.told.client_kb_per_s * S) if self.told.client_kb_per_s else 0
         if size:
             service.mean += 0.02 * (size - service.mean)
-        thing, group, end = event.thing, event.group, self.now + event.left - self.told.tick
         # a final answer in time: one tick before the client leaves, so that it is never late
+        thing, group, end = event.thing, event.group, self.now + event.left - self.told.tick
         service.longest = max(service.longest, event.left)
         # a client's further try has less time left: told so, its latency objective may be past already
         gone = service.told.viewer_timeout - event.left if event.left < 0.98 * service.longest else 0
@@ -323,9 +322,9 @@
 
     def strained(self) -> bool:
         """The origin is slow or Open: parents give only what they hold; the rest waits for room there."""
-        if self.origin is None or self.told.notes != "all":
-            return False  # what fails behind a parent is not told: too little to act on
-        return self.origin.limit < 32 or self.origin.breaker.state != "Closed"
+        if self.origin is None or self.told.notes != "all":  # else it is not told what fails behind a parent
+            return False
+        return self.origin.limit < LIMITS[0] / 2 or self.origin.breaker.state != "Closed"
 
     def overdue(self, get: Get) -> int:
         """When a forward is looked at: past the usual, half again where a large object may be the reason."""
@@ -338,15 +337,12 @@
 
     def pick_cache(self, get: Get) -> Node | None:
         """The object's home; a crowded one (by a hot object, say) spills in hash order to ample room."""
-        home = None
-        for node in self.order(self.caches, get):
-            if self.usable(node, get) and self.keeps_scope(get, node):
-                if node.out < (0.8 if home is None else 0.3) * self.limit(node):
-                    return node
-                home = home or node
-        if home is None and self.told.direct:
-            return next((n for n in self.sources(get) if self.keeps_scope(get, n)), None)
-        return home
+        fit = [n for n in self.order(self.caches, get) if self.usable(n, get) and self.keeps_scope(get, n)]
+        if not fit and self.told.direct:
+            fit = [n for n in self.sources(get) if self.keeps_scope(get, n)]
+        if fit and fit[0].out >= 0.8 * self.limit(fit[0]):
+            return next((n for n in fit if n.out < 0.3 * self.limit(n)), fit[0])
+        return fit[0] if fit else None
 
     def sources(self, get: Get) -> list[Node]:
         """Closed parents in hash order over all listed, then the origin, as far as cold budgets allow."""
@@ -354,14 +350,16 @@
         return [n for n in self.order(self.parents, get) + origin if self.usable(n, get)]
 
     def pick_source(self, get: Get, cache: Node) -> Node:
-        return next(iter(self.sources(get)), cache) if cache.role == "cache" else cache
+        if cache.role != "cache":
+            return self.origin or cache
+        return next(iter(self.sources(get)), cache)
 
     def usable(self, node: Node, get: Get) -> bool:
         return node.place not in get.avoid and node.breaker.allows(self.now) and self.cold_room(node, get)
 
     def limit(self, node: Node) -> float:
-        """Forwards out at which a cache is full for this gateway. Three to a told transfer keep a third of
-        the pace, which the objective's stretch just bears; each gateway of the location takes its part."""
+        """Forwards out at which a cache is full for this gateway: where the size is told, 2.2 to a transfer,
+        since the objective's stretch bears half the pace. Each gateway of the location takes its part."""
         if self.sized and node.role == "cache":
             return max(5.0, 2.2 * node.entry.units * self.warmth(node) / self.told.location_gateways)
         return node.limit
@@ -395,15 +393,14 @@
 
     def may_shed(self, get: Get) -> bool:
         told = get.service.told
-        known = (told.effect, told.scope) == ("tokened", "all")
-        return known or told.effect == "idempotent" or get.ran is None
+        known = told.effect == "idempotent" or (told.effect, told.scope) == ("tokened", "all")
+        return known or get.ran is None
 
     def warmth(self, node: Node) -> float:
         """Share of its capacity that a cache or parent is sure to have; 1: warm."""
-        told = self.told
-        share, lasts = told.cold_share, told.cold_for
-        if node.role == "parent":
-            share, lasts = told.parent_cold_share, told.parent_cold_for
+        told, parent = self.told, node.role == "parent"
+        share = told.parent_cold_share if parent else told.cold_share
+        lasts = told.parent_cold_for if parent else told.cold_for
         age = max(0, self.now - node.entry.since)
         if node.role == "origin" or not node.entry.since or age >= lasts:
             return 1.0
@@ -417,10 +414,9 @@
             return True
         if mix(get.hash ^ 0x5DEECE66D, node.hash) > warmth:
             return False
-        multiple, sharers = told.cold_multiple, told.location_gateways
-        if node.role == "parent":
-            multiple, sharers = told.parent_cold_multiple, told.gateways
-        capacity = node.entry.units / sharers
+        parent = node.role == "parent"
+        multiple = told.parent_cold_multiple if parent else told.cold_multiple
+        capacity = node.entry.units / (told.gateways if parent else told.location_gateways)
         if not self.sized:  # no size told: what warm ones like it get from this gateway
             like = [n for n in self.nodes if n.role == node.role and n.active and self.warmth(n) >= 1]
             capacity = sum(map(self.flow, like)) / len(like) if like else 0.0
@@ -455,15 +451,14 @@
         Where a note tells, the note holds. Else the one with the longer run of troubles since its last good
         sign is at fault; in doubt the cache, so that a dead cache or location opens no source."""
         cache, source = out.cache, out.source
-        if event is not None:
-            if event.note in (8, 9) or event.result in ("lacking", "unsent", "recalled"):
-                return None
-            if event.note == 10:
-                return self.origin
-            if event.note in (6, 7) and source is not cache:
-                return self.waited(out) if event.took > S // 2 else source
-            if event.result == "unreached":
-                return cache
+        if event and (event.note in (8, 9) or event.result in ("lacking", "unsent", "recalled")):
+            return None
+        if event and event.note == 10:
+            return self.origin
+        if event and event.note in (6, 7) and source is not cache:
+            return self.waited(out) if event.took > S // 2 else source
+        if event and event.result == "unreached":
+            return cache
         cache.run += 1
         if self.told.notes != "all" and cache.run <= 2:  # a dead cache says nothing of its sources
             source.run += source is not cache
@@ -518,12 +513,12 @@
         if event.over:
             self.close(get)
         elif get.id in self.gets and not get.streamed:
-            if event.result in ("shed", "lacking", "unreached", "unsent") and not get.out:
-                get.ran = None  # proved not to have run
+            if event.result in ("shed", "lacking", "unreached", "unsent") and get.ran == (out.sent, cache):
+                get.ran = None  # proved not to have run; an earlier one that may have stays
             if event.result == "lacking" and (out.copies or (source is cache and not get.lacked)):
                 get.lacked = 2 if out.copies else 1
-                closed = self.origin is not None and self.origin.breaker.allows(self.now)
-                if self.pick_source(get, cache) is cache or (out.copies and not closed):
+                shut = out.copies and not (self.origin and self.origin.breaker.allows(self.now))
+                if shut or self.pick_source(get, cache) is cache:
                     self.give_up(get)
                 else:
                     self.dispatch(get)
@@ -531,9 +526,12 @@
                 # shed for no reason told, by a cache with ample room: its source is the likelier cause
                 doubt = source if event.result == "shed" and cache.out < 0.5 * self.limit(cache) else cache
                 get.avoid.add((blamed or doubt).place)
-                if not get.out:
-                    self.further(get)
-        for node in self.caches if source is not cache else [cache]:
+                if not get.out and self.spare >= 1:
+                    self.spare -= 1  # spare ones only, against retry storms
+                    self.dispatch(get)
+                elif not get.out:
+                    self.give_up(get)
+        for node in self.caches:
             self.drain_line(node)
 
     def source_ended(self, out: Out, event: i.ForwardEnded, blamed: Node | None, filled: bool) -> None:
@@ -542,7 +540,7 @@
         if event.result == "returned" and not filled:
             out.cost[1] = 0.0  # a hit asked nothing of it
         late = event.took > service.told.objective + service.told.stretch * (out.get.size or service.mean)
-        slow = self.slow(source, event.first_byte) if filled else 0.0
+        slow = self.slow(source, event.first_byte) if filled and event.first_byte else 0.0
         if filled:
             source.ok_at, source.run = self.now, 0
             judged = self.origin if behind and self.origin else source
@@ -559,11 +557,9 @@
 
     def slow(self, source: Node, first_byte: int) -> float:
         """Half a failure where the first byte came later than this source's usual 95th percentile."""
-        if not first_byte:
-            return 0.0
-        late = first_byte > (source.first_byte or 2 * first_byte)
-        source.first_byte = (source.first_byte or 2 * first_byte) * (1.019 if late else 0.999)
-        return 0.5 if late else 0.0
+        usual = source.first_byte or 2.0 * first_byte
+        source.first_byte = usual * (1.019 if first_byte > usual else 0.999)
+        return 0.5 if first_byte > usual else 0.0
 
     def learn(self, get: Get, cache: Node, event: i.ForwardEnded) -> None:
         service, beyond = get.service, event.took - get.size
@@ -577,13 +573,6 @@
             elif cache.out + 1 >= 0.8 * cache.limit:
                 cache.limit += 4 / cache.limit
 
-    def further(self, get: Get) -> None:
-        """A further forward, while spare ones are left (against retry storms)."""
-        if self.spare < 1:
-            return self.give_up(get)
-        self.spare -= 1
-        self.dispatch(get)
-
     def look(self, get: Get, out: Out) -> None:
         """An overdue forward: who is at fault, and would a second copy help?"""
         blamed = None if out.judged else self.judge(out, None)
@@ -593,9 +582,8 @@
             self.note(blamed, 1.0, blamed in out.trials)
         if blamed is None and all(n.breaker.state == "Closed" for n in (out.cache, out.source)):
             return self.plan(self.now + self.overdue(get), get.id, out.leg)
-        if len(get.out) > 1 or self.spare < 1 or get.service.told.effect != "idempotent":
-            return
-        cache = self.pick_cache(get) if self.may_forward(get) else None
+        further = len(get.out) == 1 and self.spare >= 1 and get.service.told.effect == "idempotent"
+        cache = self.pick_cache(get) if further and self.may_forward(get) else None
         if cache is not None and self.room(get, cache):
             self.spare -= 1
             self.forward(get, cache)
@@ -603,8 +591,9 @@
     def give_up(self, get: Get) -> None:
         if get.out and self.now < get.end:
             return  # one may still return
-        come_back = min(get.service.told.objective // 5, self.told.max_retry_after) if self.told.retry_after else 0
-        self.actions.append(i.Shed(get.id, come_back) if self.may_shed(get) else i.Errored(get.id))
+        # soon enough for the objective still to be met, if room is found by then
+        back = min(get.service.told.objective // 5, self.told.max_retry_after) if self.told.retry_after else 0
+        self.actions.append(i.Shed(get.id, back) if self.may_shed(get) else i.Errored(get.id))
         self.close(get)
 
     def close(self, get: Get) -> None:
@@ -642,6 +631,3 @@
         if (self.due or waiting) and (self.armed <= self.now or when < self.armed):
             self.armed = when
             self.actions.append(i.Wake(max(1, when - self.now)))
-
-
-END, LINE, ASK = -1, -2, -3  # what is due besides a look at a leg
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -128,6 +128,10 @@
         ):
             desk.take(get, service=service)
             desk.end(get, result)
+        desk.take(8, service=2)
+        desk.end(8, "broken")  # may have run: the next one, known not to have run, does not undo that
+        desk.end(8, "shed")
+        self.assertEqual(desk.router.gets[8].ran, (desk.now, desk.router.places[desk.sent[8, 0].cache]))
         desk.take(9, service=2)
         desk.wait(3 * S - 20)  # the end of what is remembered: no further forward
         desk.end(9, "broken")
