--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -460,8 +460,7 @@
         if event and event.result == "unreached":
             return cache
         cache.run += 1
-        if self.told.notes != "all" and cache.run <= 2:  # a dead cache says nothing of its sources
-            source.run += source is not cache
+        source.run += source is not cache and cache.run <= 2  # a dead cache says nothing of its sources
         if source is not cache and source.run > max(1, cache.run):
             return source if event and event.result == "shed" and event.took < S // 2 else self.waited(out)
         return cache if cache.run > 2 else None
@@ -525,7 +524,8 @@
             else:
                 # shed for no reason told, by a cache with ample room: its source is the likelier cause
                 doubt = source if event.result == "shed" and cache.out < 0.5 * self.limit(cache) else cache
-                get.avoid.add((blamed or doubt).place)
+                if event.result != "recalled":
+                    get.avoid.add((blamed or doubt).place)
                 if not get.out and self.spare >= 1:
                     self.spare -= 1  # spare ones only, against retry storms
                     self.dispatch(get)
@@ -584,7 +584,9 @@
             return self.plan(self.now + self.overdue(get), get.id, out.leg)
         further = len(get.out) == 1 and self.spare >= 1 and get.service.told.effect == "idempotent"
         cache = self.pick_cache(get) if further and self.may_forward(get) else None
-        if cache is not None and self.room(get, cache):
+        if cache is not None and self.told.cancel and (blamed or "Open" in (n.breaker.state for n in out.parts)):
+            self.actions.append(i.Recall(get.id, out.leg))  # hung fills must not fill up a live cache
+        elif cache is not None and self.room(get, cache):
             self.spare -= 1
             self.forward(get, cache)
 
