--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -461,7 +461,7 @@
             return cache
         cache.run += 1
         source.run += source is not cache and cache.run <= 2  # a dead cache says nothing of its sources
-        if source is not cache and source.run > max(1, cache.run):
+        if source is not cache and source.run > max(4 if self.told.notes == "all" else 1, cache.run):
             return source if event and event.result == "shed" and event.took < S // 2 else self.waited(out)
         return cache if cache.run > 2 else None
 
@@ -584,7 +584,7 @@
             return self.plan(self.now + self.overdue(get), get.id, out.leg)
         further = len(get.out) == 1 and self.spare >= 1 and get.service.told.effect == "idempotent"
         cache = self.pick_cache(get) if further and self.may_forward(get) else None
-        if cache is not None and self.told.cancel and (blamed or "Open" in (n.breaker.state for n in out.parts)):
+        if cache is not None and self.told.cancel and "Open" in (n.breaker.state for n in out.parts):
             self.actions.append(i.Recall(get.id, out.leg))  # hung fills must not fill up a live cache
         elif cache is not None and self.room(get, cache):
             self.spare -= 1
