One rule for silence: a parent that gave others waits for the origin, else it opens

Cause: with one parent Half-Open and the other hung, the hang was put down to the origin, which opened too, and all misses were shed. Holds against any parent that goes silent; harms where parent and origin go silent together, until the origin opens.

--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -466,16 +466,14 @@
         return cache if cache.run > 2 else None
 
     def waited(self, out: Out) -> Node | None:
-        """A fill that ran out of time at a parent which gave others, or with no other parent Closed: they
-        share the origin, so it is put down to that. Guards against a slow origin that opens every parent."""
-        all_told, source = self.told.notes == "all", out.source
-        sources = self.parents if all_told else [n for n in (*self.parents, self.origin) if n]
-        others = any(n.breaker.state == "Closed" for n in sources if n is not source)
-        if not all_told:
-            return source if others else None  # the last one Closed is not opened by silence
-        if out.copies or source.role != "parent" or (others and source.ok_at < out.sent):
-            return source
-        return self.origin
+        """A fill that ran out of time at a parent which gave others meanwhile waited for their origin. Guards
+        against a slow origin that opens every parent. The last source Closed is not opened by silence."""
+        source = out.source
+        gave = source.role == "parent" and source.ok_at >= out.sent and not out.copies
+        if gave and self.told.notes == "all":
+            return self.origin
+        sources = (*self.parents, self.origin)
+        return source if any(n and n is not source and n.breaker.state == "Closed" for n in sources) else None
 
     def note(self, node: Node, weight: float, trial: bool) -> None:
         change = node.breaker.note(self.now, weight, trial)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -99,6 +99,17 @@
                 desk.end(get, "returned", note=2)
         self.check("slow-origin", [line for line in desk.lines[50:] if "->" in line or "Open" in line][:24])
 
+    def test_hung_parent_does_not_fill_up_live_caches(self) -> None:
+        """Its fills hang in every cache: it opens, they are recalled and go on by the other parent."""
+        desk = Desk(notes="all", joins=False)
+        for get in range(60):
+            desk.take(get)
+            for known in list(desk.router.gets):
+                if desk.sent[known, desk.legs[known] - 1].source != "p1":
+                    desk.end(known, "returned", note=2)
+            desk.wait(500, 100)
+        self.check("hung-parent", [line for line in desk.lines if "Open" in line or "recalled" in line][:12])
+
     def test_trial_that_proves_nothing_gives_its_place_back(self) -> None:
         desk = Desk("c1 p1 o")
         breaker = desk.router.places["p1"].breaker
