--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -461,7 +461,7 @@
             return cache
         cache.run += 1
         source.run += source is not cache and cache.run <= 2  # a dead cache says nothing of its sources
-        if source is not cache and source.run > max(4 if self.told.notes == "all" else 1, cache.run):
+        if source is not cache and source.run > max(4, cache.run):  # five: a crowded source still gives some
             return source if event and event.result == "shed" and event.took < S // 2 else self.waited(out)
         return cache if cache.run > 2 else None
 
