--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -213,6 +213,7 @@
         self.spare = 10.0  # further forwards that may still go
         self.asks = 0
         self.density = 0.0  # usual revenue for a unit of sending time
+        self.brim = 0.65 if self.told.joins else 0.8  # unjoined, each GET that spills costs a fill of its own
         self.sized = self.told.weights in ("nominal", "rough")
         if self.told.ask_for_list:
             self.actions.append(i.AskForList())
@@ -340,7 +341,7 @@
         fit = [n for n in self.order(self.caches, get) if self.usable(n, get) and self.keeps_scope(get, n)]
         if not fit and self.told.direct:
             fit = [n for n in self.sources(get) if self.keeps_scope(get, n)]
-        if fit and fit[0].out >= 0.8 * self.limit(fit[0]):
+        if fit and fit[0].out >= self.brim * self.limit(fit[0]):
             return next((n for n in fit if n.out < 0.3 * self.limit(n)), fit[0])
         return fit[0] if fit else None
 
@@ -369,8 +370,8 @@
         origin = self.origin if get.lacked == 2 else None
         if origin and (not origin.breaker.allows(self.now) or origin.out >= origin.limit):
             return False
-        # what earns less for its sending time leaves the last fifth to what earns more
-        part = 1.0 if get.density > self.density else 0.8
+        # what earns less for its sending time leaves the room above the brim to what earns more
+        part = 1.0 if get.density > self.density else self.brim
         return cache.out < part * self.limit(cache) and (source is cache or source.out < source.limit)
 
     def may_forward(self, get: Get) -> bool:
@@ -495,9 +496,8 @@
         good, alive = event.result == "returned", event.result in ("returned", "lacking")
         filled = event.note in (2, 3) or (good and self.told.notes == "none")
         blamed = None if good or out.judged else self.judge(out, event)
-        if alive:
-            cache.run = 0
         if alive or blamed is cache:
+            cache.run *= not alive
             self.note(cache, float(blamed is cache), cache in out.trials)
         if source is not cache:
             self.source_ended(out, event, blamed, good and filled)
@@ -560,8 +560,7 @@
         return 0.5 if first_byte > usual else 0.0
 
     def learn(self, get: Get, cache: Node, event: i.ForwardEnded) -> None:
-        service, beyond = get.service, event.took - get.size
-        # steps that balance at the 95th percentile
+        service, beyond = get.service, event.took - get.size  # its steps balance at the 95th percentile
         service.usual = max(10 * MS, service.usual * (1.019 if beyond > service.usual else 0.999))
         if not get.size and event.note != 2:
             service.mean += 0.02 * (event.took - service.mean)
