--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -18,7 +18,7 @@
 MASK = (1 << 64) - 1
 MS, S = 10, 10_000
 END, LINE, ASK = -1, -2, -3  # what is due besides a look at a leg
-LIMITS = (64.0, 24.0)  # first limits of a source and a cache: above what warm ones need, soon cut when late
+LIMITS = (64.0, 32.0)  # first limits of a source, and of a cache for all gateways of its location; soon found
 
 
 class Chance:
@@ -123,7 +123,7 @@
         self.breaker = Breaker(chance)
         self.active = False
         self.out = 0  # forwards out to it, or naming it as source
-        self.limit = LIMITS[role == "cache"]  # of those; found by trying
+        self.limit = LIMITS[0]  # of those; found by trying
         self.run = 0  # troubles since its last good sign (of a cache any answer, of a source a fill)
         self.ok_at = -S  # last good fill
         self.spent: deque[list[float]] = deque()  # when, sending time asked of it; emptied as the span rolls
@@ -230,13 +230,14 @@
             if entry.cache not in self.places:
                 roles = {self.told.parent_model: "parent", self.told.origin_model: "origin"}
                 role = roles.get(entry.model, "cache" if entry.location == self.told.location else "")
-                self.places[entry.cache] = Node(len(self.nodes), entry, role, self.chance)
+                node = self.places[entry.cache] = Node(len(self.nodes), entry, role, self.chance)
+                node.limit = LIMITS[1] / self.told.location_gateways if role == "cache" else LIMITS[0]
                 self.nodes.append(self.places[entry.cache])
                 self.lines.append([])
             node = self.places[entry.cache]
             if entry.since and entry.since != node.entry.since:
                 node.breaker.reset()  # a new process: what was seen of the old one says nothing
-                node.limit = LIMITS[node.role == "cache"]
+                node.limit = LIMITS[1] / self.told.location_gateways if node.role == "cache" else LIMITS[0]
             node.entry, node.active = entry, entry.state == "active"
         self.caches = [n for n in self.nodes if n.role == "cache" and n.active]
         self.parents = [n for n in self.nodes if n.role == "parent" and n.active]
