--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -363,7 +363,7 @@
         """Forwards out at which a cache is full for this gateway: where the size is told, 2.2 to a transfer,
         since the objective's stretch bears half the pace. Each gateway of the location takes its part."""
         if self.sized and node.role == "cache":
-            return max(5.0, 2.2 * node.entry.units * self.warmth(node) / self.told.location_gateways)
+            return max(3.0, 2.2 * node.entry.units * self.warmth(node) / self.told.location_gateways)
         return node.limit
 
     def room(self, get: Get, cache: Node) -> bool:
@@ -567,7 +567,7 @@
             service.mean += 0.02 * (event.took - service.mean)
         if get.size and event.note in (0, 1):
             if event.took > service.told.objective + service.told.stretch * get.size:
-                cache.limit = max(5.0, cache.limit * 0.9)
+                cache.limit = max(3.0, cache.limit * 0.9)
             elif cache.out + 1 >= 0.8 * cache.limit:
                 cache.limit += 4 / cache.limit
 
