--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -247,8 +247,7 @@
     def taken(self, event: i.GetTaken) -> None:
         service = self.services[event.service]
         size = int(event.size_kb / self.told.client_kb_per_s * S) if self.told.client_kb_per_s else 0
-        if size:
-            service.mean += 0.02 * (size - service.mean)
+        service.mean += 0.02 * (size - service.mean) if size else 0.0
         # a final answer in time: one tick before the client leaves, so that it is never late
         thing, group, end = event.thing, event.group, self.now + event.left - self.told.tick
         service.longest = max(service.longest, event.left)
@@ -324,9 +323,8 @@
 
     def strained(self) -> bool:
         """The origin is slow or Open: parents give only what they hold; the rest waits for room there."""
-        if self.origin is None or self.told.notes != "all":  # else it is not told what fails behind a parent
-            return False
-        return self.origin.limit < LIMITS[0] / 2 or self.origin.breaker.state != "Closed"
+        origin = self.origin if self.told.notes == "all" else None  # else it's not told what fails behind it
+        return origin is not None and (origin.limit < LIMITS[0] / 2 or origin.breaker.state != "Closed")
 
     def overdue(self, get: Get) -> int:
         """When a forward is looked at: past the usual, half again where a large object may be the reason."""
@@ -348,8 +346,7 @@
 
     def sources(self, get: Get) -> list[Node]:
         """Closed parents in hash order over all listed, then the origin, as far as cold budgets allow."""
-        origin = [self.origin] if self.origin else []
-        return [n for n in self.order(self.parents, get) + origin if self.usable(n, get)]
+        return [n for n in (*self.order(self.parents, get), self.origin) if n and self.usable(n, get)]
 
     def pick_source(self, get: Get, cache: Node) -> Node:
         if cache.role != "cache":
@@ -357,7 +354,13 @@
         return next(iter(self.sources(get)), cache)
 
     def usable(self, node: Node, get: Get) -> bool:
-        return node.place not in get.avoid and node.breaker.allows(self.now) and self.cold_room(node, get)
+        return node.place not in get.avoid and self.allows(node) and self.cold_room(node, get)
+
+    def allows(self, node: Node) -> bool:
+        before, allowed = node.breaker.state, node.breaker.allows(self.now)
+        if node.breaker.state != before:
+            self.actions.append(i.Trace(f"{node.role} {node.name} Half-Open"))
+        return allowed
 
     def limit(self, node: Node) -> float:
         """Forwards out at which a cache is full for this gateway: where the size is told, 2.2 to a transfer,
@@ -369,7 +372,7 @@
     def room(self, get: Get, cache: Node) -> bool:
         source = self.pick_source(get, cache) if get.lacked else cache
         origin = self.origin if get.lacked == 2 else None
-        if origin and (not origin.breaker.allows(self.now) or origin.out >= origin.limit):
+        if origin and (not self.allows(origin) or origin.out >= origin.limit):
             return False
         # what earns less for its sending time leaves the room above the brim to what earns more
         part = 1.0 if get.density > self.density else self.brim
@@ -422,10 +425,9 @@
         if not self.sized:  # no size told: what warm ones like it get from this gateway
             like = [n for n in self.nodes if n.role == node.role and n.active and self.warmth(n) >= 1]
             capacity = sum(map(self.flow, like)) / len(like) if like else 0.0
-        while node.spent and node.spent[0][0] <= self.now - told.cold_span:
-            node.spent.popleft()
         room = 0.6 * multiple * warmth * capacity * told.cold_span  # the rest is left to chance
-        return sum(cost for _, cost in node.spent) + get.service.mean <= room
+        spent = sum(cost for when, cost in node.spent if when > self.now - told.cold_span)
+        return spent + get.service.mean <= room
 
     def spend(self, node: Node, get: Get) -> list[float]:
         cost = [float(self.now), get.service.mean]
@@ -515,7 +517,7 @@
                 get.ran = None  # proved not to have run; an earlier one that may have stays
             if event.result == "lacking" and (out.copies or (source is cache and not get.lacked)):
                 get.lacked = 2 if out.copies else 1
-                shut = out.copies and not (self.origin and self.origin.breaker.allows(self.now))
+                shut = out.copies and not (self.origin and self.allows(self.origin))
                 if shut or self.pick_source(get, cache) is cache:
                     self.give_up(get)
                 else:
@@ -539,8 +541,11 @@
         if event.result == "returned" and not filled:
             out.cost[1] = 0.0  # a hit asked nothing of it
         late = event.took > service.told.objective + service.told.stretch * (out.get.size or service.mean)
-        slow = self.slow(source, event.first_byte) if filled and event.first_byte else 0.0
         if filled:
+            # half a failure: a first byte later than this source's usual 95th percentile
+            usual = source.first_byte or 2.0 * event.first_byte
+            slow = 0.5 if event.first_byte > usual else 0.0
+            source.first_byte = usual * (1.019 if slow else 0.999)
             source.ok_at, source.run = self.now, 0
             judged = self.origin if behind and self.origin else source
             self.note(judged, slow, judged in out.trials)
@@ -554,12 +559,6 @@
             elif node.out + 1 >= 0.8 * node.limit or event.note == 3:
                 node.limit = min(64.0, node.limit + 2 / node.limit)
 
-    def slow(self, source: Node, first_byte: int) -> float:
-        """Half a failure where the first byte came later than this source's usual 95th percentile."""
-        usual = source.first_byte or 2.0 * first_byte
-        source.first_byte = usual * (1.019 if first_byte > usual else 0.999)
-        return 0.5 if first_byte > usual else 0.0
-
     def learn(self, get: Get, cache: Node, event: i.ForwardEnded) -> None:
         service, beyond = get.service, event.took - get.size  # its steps balance at the 95th percentile
         service.usual = max(10 * MS, service.usual * (1.019 if beyond > service.usual else 0.999))
