--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -327,7 +327,7 @@
         return origin is not None and (origin.limit < LIMITS[0] / 2 or origin.breaker.state != "Closed")
 
     def overdue(self, get: Get) -> int:
-        """When a forward is looked at: past the usual, or twice that where a large object may be the reason."""
+        """When a forward is looked at: past the usual, or twice that where its size is not told."""
         return int((1.0 if get.size else 2.0) * (get.size + get.service.usual))
 
     def order(self, nodes: list[Node], get: Get) -> list[Node]:
