--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -55,8 +55,11 @@
     SPACING = S // 2  # between trials, the design's
     MAJORITY = 2  # of three trials, the design's
 
-    def __init__(self, chance: Chance) -> None:
+    def __init__(self, chance: Chance, shared: int) -> None:
         self.chance = chance
+        # where many gateways share a location's traffic each sees less: fewer count, and for longer
+        self.least = max(2, round(self.LEAST / math.sqrt(shared)))
+        self.window = int(self.WINDOW * min(math.sqrt(shared), 10 / 3))
         self.reset()
 
     def reset(self) -> None:
@@ -85,16 +88,16 @@
             return "Closed"
         if self.state != "Closed":
             return ""
-        start = now - now % (self.WINDOW // self.BUCKETS)
+        start = now - now % (self.window // self.BUCKETS)
         if not self.buckets or self.buckets[-1][0] != start:
             self.buckets.append([start, 0.0, 0.0])
         self.buckets[-1][1] += 1
         self.buckets[-1][2] += weight
         self.count, self.failures = self.count + 1, self.failures + weight
-        while self.buckets[0][0] <= now - self.WINDOW:
+        while self.buckets[0][0] <= now - self.window:
             _, count, failures = self.buckets.popleft()
             self.count, self.failures = self.count - count, self.failures - failures
-        return self.open(now) if self.count >= self.LEAST and self.failures > self.SHARE * self.count else ""
+        return self.open(now) if self.count >= self.least and self.failures > self.SHARE * self.count else ""
 
     def open(self, now: int) -> str:
         self.state, self.until = "Open", now + int(self.cool_down * (1 + self.JITTER * self.chance.draw()))
@@ -117,10 +120,10 @@
 class Node:
     """A cache, parent or origin of the list."""
 
-    def __init__(self, place: int, entry: i.Entry, role: str, chance: Chance) -> None:
+    def __init__(self, place: int, entry: i.Entry, role: str, breaker: Breaker) -> None:
         self.place, self.entry, self.role, self.name = place, entry, role, entry.cache
         self.hash = digest(entry.cache)
-        self.breaker = Breaker(chance)
+        self.breaker = breaker
         self.active = False
         self.out = 0  # forwards out to it, or naming it as source
         self.limit = LIMITS[0]  # of those; found by trying
@@ -170,6 +173,8 @@
 
 
 class Router:
+    NEAR = 6 * MS  # a cache of the own location says no within it; what comes later was said behind it
+
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
         self.now = now
         self.actions: list[i.Action] = []
@@ -230,7 +235,8 @@
             if entry.cache not in self.places:
                 roles = {self.told.parent_model: "parent", self.told.origin_model: "origin"}
                 role = roles.get(entry.model, "cache" if entry.location == self.told.location else "")
-                node = self.places[entry.cache] = Node(len(self.nodes), entry, role, self.chance)
+                breaker = Breaker(self.chance, self.told.location_gateways)
+                node = self.places[entry.cache] = Node(len(self.nodes), entry, role, breaker)
                 node.limit = LIMITS[1] / self.told.location_gateways if role == "cache" else LIMITS[0]
                 self.nodes.append(self.places[entry.cache])
                 self.lines.append([])
@@ -299,8 +305,8 @@
         source = self.pick_source(get, cache)
         copies = False
         if source is not cache and not told.passes:
-            if not get.lacked and source.out >= source.limit:
-                source = cache  # a crowded source: look first, and ask it only for what is lacking
+            if not get.lacked and (source.out >= source.limit or cache.run):
+                source = cache  # a crowded source or a cache in doubt: look first, and ask for what is lacking
             copies = source.role == "parent" and get.lacked < 2 and self.strained()
         parts = [cache] if source is cache else [cache, source]
         cost = [self.spend(node, get) for node in parts][-1]
@@ -463,10 +469,12 @@
             return self.waited(out) if event.took > S // 2 else source
         if event and event.result == "unreached":
             return cache
+        if source is not cache and event and event.result == "shed" and event.took > self.NEAR:
+            return source
+        if source is not cache and cache.ok_at > out.sent:
+            source.run += 1
+            return self.waited(out) if source.run >= source.breaker.least else None
         cache.run += 1
-        source.run += source is not cache and cache.run <= 2  # a dead cache says nothing of its sources
-        if source is not cache and source.run > max(4, cache.run):  # five: a crowded source still gives some
-            return source if event and event.result == "shed" and event.took < S // 2 else self.waited(out)
         return cache if cache.run > 2 else None
 
     def waited(self, out: Out) -> Node | None:
@@ -500,7 +508,7 @@
         filled = event.note in (2, 3) or (good and self.told.notes == "none")
         blamed = None if good or out.judged else self.judge(out, event)
         if alive or blamed is cache:
-            cache.run *= not alive
+            cache.run, cache.ok_at = (0, self.now) if alive else (cache.run, cache.ok_at)
             self.note(cache, float(blamed is cache), cache in out.trials)
         if source is not cache:
             self.source_ended(out, event, blamed, good and filled)
@@ -573,7 +581,7 @@
     def look(self, get: Get, out: Out) -> None:
         """An overdue forward: who is at fault, and would a second copy help?"""
         blamed = None if out.judged else self.judge(out, None)
-        out.judged = True
+        out.judged = blamed is not None
         if blamed is not None:
             get.avoid.add(blamed.place)
             self.note(blamed, 1.0, blamed in out.trials)
