--- a/damsonstream/bench/codec.py
+++ b/damsonstream/bench/codec.py
@@ -13,6 +13,7 @@
 US = 100  # microseconds in a tenth of a millisecond
 
 EFFECTS = {"idempotent": "idempotent", "deduplicated": "tokened", "at_most_once": "non-idempotent"}
+LOADS = {"concurrent": "held", "load_share": "busy", "x0": "hits", "x1": "link"}  # a cache's x1: its location's link
 LIST_KINDS = {"D": "changes", "F": "full", "C": "cached", "X": "lost"}
 RESULTS = {
     "delivered": "returned",
@@ -174,7 +175,7 @@
             first_byte=_time(p.get("firstByte", 0)),
             note=int(p.get("remark", 0)),
             over=p.get("over", "0") == "1",
-            load={key: float(value) for key, value in load.items()},
+            load={LOADS[key]: float(value) for key, value in load.items() if key in LOADS},
         )
     return None
 
--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -58,8 +58,8 @@
     def __init__(self, chance: Chance, shared: int) -> None:
         self.chance = chance
         # where many gateways share a location's traffic each sees less: fewer count, and for longer
-        self.least = max(2, round(self.LEAST / math.sqrt(shared)))
-        self.window = int(self.WINDOW * min(math.sqrt(shared), 10 / 3))
+        self.least = 5
+        self.window = self.WINDOW
         self.reset()
 
     def reset(self) -> None:
@@ -152,6 +152,7 @@
     ran: tuple[int, Node] | None = None  # first forward that may have run
     held: int = -1  # since when, -1: not held
     want: int = 0  # place of the cache in whose line it is held
+    luck: float = 0.0  # drawn as it came: who is left out where only a share fits
     lacked: int = 0  # 1: its cache has no copy, a fill helps; 2: nor has its parent, the origin helps
     streamed: bool = False
 
@@ -215,6 +216,7 @@
         self.lines: list[list[tuple[bool, float, int, int]]] = []  # by cache: further, -density, since, GET
         self.purges: dict[str | int, int] = {}  # object or group: when; emptied when copies have settled
         self.swept = 0
+        self.link = 0.0
         self.spare = 10.0  # further forwards that may still go
         self.asks = 0
         self.density = 0.0  # usual revenue for a unit of sending time
@@ -263,6 +265,7 @@
         density = revenue / (size or service.mean)
         self.density += 0.02 * (density - self.density)
         get = self.gets[event.get] = Get(event.get, service, digest(thing), thing, group, size, end, density)
+        get.luck = self.chance.draw()
         self.spare = min(20.0, self.spare + 0.2)  # a fifth of the GETs, and a small stock
         self.plan(get.end, get.id, END)
         self.dispatch(get)
@@ -305,7 +308,7 @@
         source = self.pick_source(get, cache)
         copies = False
         if source is not cache and not told.passes:
-            if not get.lacked and (source.out >= source.limit or cache.run):
+            if not get.lacked and (source.out >= source.limit or cache.run or not self.fits(get)):
                 source = cache  # a crowded source or a cache in doubt: look first, and ask for what is lacking
             copies = source.role == "parent" and get.lacked < 2 and self.strained()
         parts = [cache] if source is cache else [cache, source]
@@ -332,6 +335,9 @@
         origin = self.origin if self.told.notes == "all" else None  # else it's not told what fails behind it
         return origin is not None and (origin.limit < LIMITS[0] / 2 or origin.breaker.state != "Closed")
 
+    def fits(self, get: Get) -> bool:
+        return get.luck * self.link < 1.2
+
     def overdue(self, get: Get) -> int:
         """When a forward is looked at: past the usual, or twice that where its size is not told."""
         return int((1.0 if get.size else 2.0) * (get.size + get.service.usual))
@@ -504,6 +510,7 @@
         get.out.pop(out.leg, None)
         for node in out.parts:
             node.out -= 1
+        self.link = event.load.get("link", self.link)
         good, alive = event.result == "returned", event.result in ("returned", "lacking")
         filled = event.note in (2, 3) or (good and self.told.notes == "none")
         blamed = None if good or out.judged else self.judge(out, event)
@@ -525,7 +532,7 @@
                 get.ran = None  # proved not to have run; an earlier one that may have stays
             if event.result == "lacking" and (out.copies or (source is cache and not get.lacked)):
                 get.lacked = 2 if out.copies else 1
-                shut = out.copies and not (self.origin and self.allows(self.origin))
+                shut = not self.fits(get) or out.copies and not (self.origin and self.allows(self.origin))
                 if shut or self.pick_source(get, cache) is cache:
                     self.give_up(get)
                 else:
