--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -55,11 +55,8 @@
     SPACING = S // 2  # between trials, the design's
     MAJORITY = 2  # of three trials, the design's
 
-    def __init__(self, chance: Chance, shared: int) -> None:
+    def __init__(self, chance: Chance) -> None:
         self.chance = chance
-        # where many gateways share a location's traffic each sees less: fewer count, and for longer
-        self.least = 5
-        self.window = self.WINDOW
         self.reset()
 
     def reset(self) -> None:
@@ -88,16 +85,16 @@
             return "Closed"
         if self.state != "Closed":
             return ""
-        start = now - now % (self.window // self.BUCKETS)
+        start = now - now % (self.WINDOW // self.BUCKETS)
         if not self.buckets or self.buckets[-1][0] != start:
             self.buckets.append([start, 0.0, 0.0])
         self.buckets[-1][1] += 1
         self.buckets[-1][2] += weight
         self.count, self.failures = self.count + 1, self.failures + weight
-        while self.buckets[0][0] <= now - self.window:
+        while self.buckets[0][0] <= now - self.WINDOW:
             _, count, failures = self.buckets.popleft()
             self.count, self.failures = self.count - count, self.failures - failures
-        return self.open(now) if self.count >= self.least and self.failures > self.SHARE * self.count else ""
+        return self.open(now) if self.count >= self.LEAST and self.failures > self.SHARE * self.count else ""
 
     def open(self, now: int) -> str:
         self.state, self.until = "Open", now + int(self.cool_down * (1 + self.JITTER * self.chance.draw()))
@@ -120,12 +117,13 @@
 class Node:
     """A cache, parent or origin of the list."""
 
-    def __init__(self, place: int, entry: i.Entry, role: str, breaker: Breaker) -> None:
+    def __init__(self, place: int, entry: i.Entry, role: str, chance: Chance) -> None:
         self.place, self.entry, self.role, self.name = place, entry, role, entry.cache
         self.hash = digest(entry.cache)
-        self.breaker = breaker
+        self.breaker = Breaker(chance)
         self.active = False
         self.out = 0  # forwards out to it, or naming it as source
+        self.held = -1.0  # GETs it holds for all gateways, as it told last; -1: not told
         self.limit = LIMITS[0]  # of those; found by trying
         self.run = 0  # troubles since its last good sign (of a cache any answer, of a source a fill)
         self.ok_at = -S  # last good fill
@@ -237,15 +235,14 @@
             if entry.cache not in self.places:
                 roles = {self.told.parent_model: "parent", self.told.origin_model: "origin"}
                 role = roles.get(entry.model, "cache" if entry.location == self.told.location else "")
-                breaker = Breaker(self.chance, self.told.location_gateways)
-                node = self.places[entry.cache] = Node(len(self.nodes), entry, role, breaker)
-                node.limit = LIMITS[1] / self.told.location_gateways if role == "cache" else LIMITS[0]
+                node = self.places[entry.cache] = Node(len(self.nodes), entry, role, self.chance)
+                node.limit = LIMITS[1] if role == "cache" else LIMITS[0]
                 self.nodes.append(self.places[entry.cache])
                 self.lines.append([])
             node = self.places[entry.cache]
             if entry.since and entry.since != node.entry.since:
                 node.breaker.reset()  # a new process: what was seen of the old one says nothing
-                node.limit = LIMITS[1] / self.told.location_gateways if node.role == "cache" else LIMITS[0]
+                node.limit = LIMITS[1] if node.role == "cache" else LIMITS[0]
             node.entry, node.active = entry, entry.state == "active"
         self.caches = [n for n in self.nodes if n.role == "cache" and n.active]
         self.parents = [n for n in self.nodes if n.role == "parent" and n.active]
@@ -352,8 +349,8 @@
         fit = [n for n in self.order(self.caches, get) if self.usable(n, get) and self.keeps_scope(get, n)]
         if not fit and self.told.direct:
             fit = [n for n in self.sources(get) if self.keeps_scope(get, n)]
-        if fit and fit[0].out >= self.brim * self.limit(fit[0]):
-            return next((n for n in fit if n.out < 0.3 * self.limit(n)), fit[0])
+        if fit and self.full(fit[0]) >= self.brim:
+            return next((n for n in fit if self.full(n) < 0.3), fit[0])
         return fit[0] if fit else None
 
     def sources(self, get: Get) -> list[Node]:
@@ -374,12 +371,16 @@
             self.actions.append(i.Trace(f"{node.role} {node.name} Half-Open"))
         return allowed
 
-    def limit(self, node: Node) -> float:
-        """Forwards out at which a cache is full for this gateway: where the size is told, 2.2 to a transfer,
-        since the objective's stretch bears half the pace. Each gateway of the location takes its part."""
+    def full(self, node: Node) -> float:
+        """How full a cache is, 1: no more fits. Where its size is told, 2.2 forwards to a transfer fit, since the
+        objective's stretch bears half the pace; else as many as were found by trying. What the cache told of its
+        load speaks for the other gateways of the location; where it tells nothing, each takes its part."""
+        limit, shared = node.limit, self.told.location_gateways
         if self.sized and node.role == "cache":
-            return max(3.0, 2.2 * node.entry.units * self.warmth(node) / self.told.location_gateways)
-        return node.limit
+            limit = 2.2 * node.entry.units * self.warmth(node)
+        if node.held < 0 or shared == 1:
+            return node.out / max(3.0, limit / shared)
+        return max(node.out, node.held) / max(6.0, limit)
 
     def room(self, get: Get, cache: Node) -> bool:
         source = self.pick_source(get, cache) if get.lacked else cache
@@ -388,7 +389,7 @@
             return False
         # what earns less for its sending time leaves the room above the brim to what earns more
         part = 1.0 if get.density > self.density else self.brim
-        return cache.out < part * self.limit(cache) and (source is cache or source.out < source.limit)
+        return self.full(cache) < part and (source is cache or source.out < source.limit)
 
     def may_forward(self, get: Get) -> bool:
         """Effect kinds: what may have run goes again only as its kind allows."""
@@ -479,7 +480,7 @@
             return source
         if source is not cache and cache.ok_at > out.sent:
             source.run += 1
-            return self.waited(out) if source.run >= source.breaker.least else None
+            return self.waited(out) if source.run >= Breaker.LEAST else None
         cache.run += 1
         return cache if cache.run > 2 else None
 
@@ -510,6 +511,7 @@
         get.out.pop(out.leg, None)
         for node in out.parts:
             node.out -= 1
+        cache.held = event.load.get("held", cache.held)
         self.link = event.load.get("link", self.link)
         good, alive = event.result == "returned", event.result in ("returned", "lacking")
         filled = event.note in (2, 3) or (good and self.told.notes == "none")
@@ -524,7 +526,7 @@
         if good:
             self.learn(get, cache, event)
         elif event.result == "shed" and blamed is not source and event.note != 9:
-            cache.limit = max(8.0, min(cache.limit, cache.out + 1.0) * 0.95)
+            cache.limit = max(8.0, min(cache.limit, max(cache.out, cache.held) + 1.0) * 0.95)
         if event.over:
             self.close(get)
         elif get.id in self.gets and not get.streamed:
@@ -539,7 +541,7 @@
                     self.dispatch(get)
             else:
                 # shed for no reason told, by a cache with ample room: its source is the likelier cause
-                doubt = source if event.result == "shed" and cache.out < 0.5 * self.limit(cache) else cache
+                doubt = source if event.result == "shed" and self.full(cache) < 0.5 else cache
                 if event.result != "recalled":
                     get.avoid.add((blamed or doubt).place)
                 if not get.out and self.spare >= 1:
@@ -582,7 +584,7 @@
         if get.size and event.note in (0, 1):
             if event.took > service.told.objective + service.told.stretch * get.size:
                 cache.limit = max(3.0, cache.limit * 0.9)
-            elif cache.out + 1 >= 0.8 * cache.limit:
+            elif self.full(cache) >= 0.7:
                 cache.limit += 4 / cache.limit
 
     def look(self, get: Get, out: Out) -> None:
