--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -54,6 +54,7 @@
     JITTER = 0.25  # up to so much on top, so that gateways do not try in step
     SPACING = S // 2  # between trials, the design's
     MAJORITY = 2  # of three trials, the design's
+    THIN = 1 / 16  # a smaller share is as good as Open
 
     def __init__(self, chance: Chance) -> None:
         self.chance = chance
@@ -62,7 +63,8 @@
     def reset(self) -> None:
         self.state, self.cool_down = "Closed", self.COOL_DOWN
         self.until = 0  # of Open: end of the cool-down; of Half-Open: when the next trial may go
-        self.trying, self.good = False, 0
+        self.trying, self.good, self.run = False, 0, 0
+        self.share, self.share_at = 1.0, 0  # of its objects, what it takes; halved while it fails in part
         self.buckets: deque[list[float]] = deque()  # start, count, failures; emptied as the window rolls
         self.count = self.failures = 0.0
 
@@ -85,6 +87,7 @@
             return "Closed"
         if self.state != "Closed":
             return ""
+        self.run = self.run + 1 if weight >= 1 else 0
         start = now - now % (self.WINDOW // self.BUCKETS)
         if not self.buckets or self.buckets[-1][0] != start:
             self.buckets.append([start, 0.0, 0.0])
@@ -94,7 +97,18 @@
         while self.buckets[0][0] <= now - self.WINDOW:
             _, count, failures = self.buckets.popleft()
             self.count, self.failures = self.count - count, self.failures - failures
-        return self.open(now) if self.count >= self.LEAST and self.failures > self.SHARE * self.count else ""
+        if self.count < self.LEAST or self.failures <= self.SHARE * self.count:
+            return ""
+        # one that still gives some is crowded: its share is halved, so that the next in order don't get it all
+        self.share, self.share_at = self.taking(now) / 2, now
+        if self.run >= self.LEAST or self.share < self.THIN:
+            return self.open(now)
+        self.buckets.clear()
+        self.count = self.failures = 0.0
+        return "thinned"
+
+    def taking(self, now: int) -> float:
+        return min(1.0, self.share * 2 ** min(9.0, (now - self.share_at) / self.COOL_DOWN))
 
     def open(self, now: int) -> str:
         self.state, self.until = "Open", now + int(self.cool_down * (1 + self.JITTER * self.chance.draw()))
@@ -215,7 +229,8 @@
         self.purges: dict[str | int, int] = {}  # object or group: when; emptied when copies have settled
         self.swept = 0
         self.link = 0.0
-        self.spare = 10.0  # further forwards that may still go
+        self.stock = max(2.0, 20 / self.told.location_gateways)  # each gateway's part of a small stock
+        self.spare = self.stock / 2  # further forwards that may still go
         self.asks = 0
         self.density = 0.0  # usual revenue for a unit of sending time
         self.brim = 0.65 if self.told.joins else 0.8  # unjoined, each GET that spills costs a fill of its own
@@ -263,7 +278,7 @@
         self.density += 0.02 * (density - self.density)
         get = self.gets[event.get] = Get(event.get, service, digest(thing), thing, group, size, end, density)
         get.luck = self.chance.draw()
-        self.spare = min(20.0, self.spare + 0.2)  # a fifth of the GETs, and a small stock
+        self.spare = min(self.stock, self.spare + 0.2)  # a fifth of the GETs, and the stock
         self.plan(get.end, get.id, END)
         self.dispatch(get)
 
@@ -363,7 +378,10 @@
         return next(iter(self.sources(get)), cache)
 
     def usable(self, node: Node, get: Get) -> bool:
-        return node.place not in get.avoid and self.allows(node) and self.cold_room(node, get)
+        if node.place in get.avoid or not self.allows(node):
+            return False
+        part = min(self.warmth(node), node.breaker.taking(self.now))  # the same objects at every gateway
+        return (part >= 1 or mix(get.hash ^ 0x5DEECE66D, node.hash) < part) and self.cold_room(node, get)
 
     def allows(self, node: Node) -> bool:
         before, allowed = node.breaker.state, node.breaker.allows(self.now)
@@ -430,8 +448,6 @@
         warmth, told = self.warmth(node), self.told
         if warmth >= 1:
             return True
-        if mix(get.hash ^ 0x5DEECE66D, node.hash) > warmth:
-            return False
         parent = node.role == "parent"
         multiple = told.parent_cold_multiple if parent else told.cold_multiple
         capacity = node.entry.units / (told.gateways if parent else told.location_gateways)
