--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -541,7 +541,7 @@
             node.breaker.trying = False  # also where it proved nothing, as a hit does
         if good:
             self.learn(get, cache, event)
-        elif event.result == "shed" and blamed is not source and event.note != 9:
+        elif event.result == "shed" and event.took <= self.NEAR and event.note != 9:
             cache.limit = max(8.0, min(cache.limit, max(cache.out, cache.held) + 1.0) * 0.95)
         if event.over:
             self.close(get)
@@ -556,8 +556,7 @@
                 else:
                     self.dispatch(get)
             else:
-                # shed for no reason told, by a cache with ample room: its source is the likelier cause
-                doubt = source if event.result == "shed" and self.full(cache) < 0.5 else cache
+                doubt = source if event.result == "shed" and event.took > self.NEAR else cache
                 if event.result != "recalled":
                     get.avoid.add((blamed or doubt).place)
                 if not get.out and self.spare >= 1:
