--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -57,7 +57,7 @@
     THIN = 1 / 16  # a smaller share is as good as Open
 
     def __init__(self, chance: Chance) -> None:
-        self.chance = chance
+        self.chance, self.whole = chance, False
         self.reset()
 
     def reset(self) -> None:
@@ -101,7 +101,7 @@
             return ""
         # one that still gives some is crowded: its share is halved, so that the next in order don't get it all
         self.share, self.share_at = self.taking(now) / 2, now
-        if self.run >= self.LEAST or self.share < self.THIN:
+        if self.run >= self.LEAST or self.share < self.THIN or self.whole:
             return self.open(now)
         self.buckets.clear()
         self.count = self.failures = 0.0
@@ -251,6 +251,7 @@
                 roles = {self.told.parent_model: "parent", self.told.origin_model: "origin"}
                 role = roles.get(entry.model, "cache" if entry.location == self.told.location else "")
                 node = self.places[entry.cache] = Node(len(self.nodes), entry, role, self.chance)
+                node.breaker.whole = role == "origin"
                 node.limit = LIMITS[1] if role == "cache" else LIMITS[0]
                 self.nodes.append(self.places[entry.cache])
                 self.lines.append([])
