--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -228,7 +228,7 @@
         self.lines: list[list[tuple[bool, float, int, int]]] = []  # by cache: further, -density, since, GET
         self.purges: dict[str | int, int] = {}  # object or group: when; emptied when copies have settled
         self.swept = 0
-        self.link = 0.0
+        self.link = 1.0
         self.stock = max(2.0, 20 / self.told.location_gateways)  # each gateway's part of a small stock
         self.spare = self.stock / 2  # further forwards that may still go
         self.asks = 0
@@ -574,6 +574,8 @@
         if event.result == "returned" and not filled:
             out.cost[1] = 0.0  # a hit asked nothing of it
         late = event.took > service.told.objective + service.told.stretch * (out.get.size or service.mean)
+        if filled and "link" not in event.load:  # not told: its steps balance where a quarter are late
+            self.link = min(16.0, self.link * 1.06) if late else max(1.0, self.link * 0.98)
         if filled:
             # half a failure: a first byte later than this source's usual 95th percentile
             usual = source.first_byte or 2.0 * event.first_byte
