--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -97,15 +97,11 @@
         while self.buckets[0][0] <= now - self.WINDOW:
             _, count, failures = self.buckets.popleft()
             self.count, self.failures = self.count - count, self.failures - failures
-        if self.count < self.LEAST or self.failures <= self.SHARE * self.count:
-            return ""
-        # one that still gives some is crowded: its share is halved, so that the next in order don't get it all
-        self.share, self.share_at = self.taking(now) / 2, now
-        if self.run >= self.LEAST or self.share < self.THIN or self.whole:
-            return self.open(now)
-        self.buckets.clear()
-        self.count = self.failures = 0.0
-        return "thinned"
+        # one that fails in part is crowded: its share is thinned, so that the next in order don't get it all
+        self.share = min(1.0, max(self.THIN, self.taking(now) * (0.85 if weight >= 1 else 1.05)))
+        self.share_at = now
+        tripped = self.count >= self.LEAST and self.failures > self.SHARE * self.count
+        return self.open(now) if tripped and (self.whole or self.run >= self.LEAST) else ""
 
     def taking(self, now: int) -> float:
         return min(1.0, self.share * 2 ** min(9.0, (now - self.share_at) / self.COOL_DOWN))
@@ -381,7 +377,7 @@
     def usable(self, node: Node, get: Get) -> bool:
         if node.place in get.avoid or not self.allows(node):
             return False
-        part = min(self.warmth(node), node.breaker.taking(self.now))  # the same objects at every gateway
+        part = min(self.warmth(node), 1.0 if node.breaker.whole else node.breaker.taking(self.now))  # the same objects at every gateway
         return (part >= 1 or mix(get.hash ^ 0x5DEECE66D, node.hash) < part) and self.cold_room(node, get)
 
     def allows(self, node: Node) -> bool:
