--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -571,7 +571,7 @@
             out.cost[1] = 0.0  # a hit asked nothing of it
         late = event.took > service.told.objective + service.told.stretch * (out.get.size or service.mean)
         if filled and "link" not in event.load:  # not told: its steps balance where a quarter are late
-            self.link = min(16.0, self.link * 1.06) if late else max(1.0, self.link * 0.98)
+            self.link = min(16.0, self.link * 1.1) if late else max(1.0, self.link * 0.99)
         if filled:
             # half a failure: a first byte later than this source's usual 95th percentile
             usual = source.first_byte or 2.0 * event.first_byte
@@ -599,7 +599,7 @@
             if event.took > service.told.objective + service.told.stretch * get.size:
                 cache.limit = max(3.0, cache.limit * 0.9)
             elif self.full(cache) >= 0.7:
-                cache.limit += 4 / cache.limit
+                cache.limit += 16 / cache.limit
 
     def look(self, get: Get, out: Out) -> None:
         """An overdue forward: who is at fault, and would a second copy help?"""
