--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -571,7 +571,7 @@
             out.cost[1] = 0.0  # a hit asked nothing of it
         late = event.took > service.told.objective + service.told.stretch * (out.get.size or service.mean)
         if filled and "link" not in event.load:  # not told: its steps balance where a quarter are late
-            self.link = min(16.0, self.link * 1.1) if late else max(1.0, self.link * 0.99)
+            self.link = min(16.0, self.link * 1.1) if late else max(1.0, self.link * (0.99 if out.get.size else 0.97))
         if filled:
             # half a failure: a first byte later than this source's usual 95th percentile
             usual = source.first_byte or 2.0 * event.first_byte
