--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -98,10 +98,13 @@
             _, count, failures = self.buckets.popleft()
             self.count, self.failures = self.count - count, self.failures - failures
         # one that fails in part is crowded: its share is thinned, so that the next in order don't get it all
-        self.share = min(1.0, max(self.THIN, self.taking(now) * (0.85 if weight >= 1 else 1.05)))
-        self.share_at = now
+        if not self.whole and self.failures < self.count:
+            share = self.taking(now) * (0.85 if weight >= 1 else 1.05)
+            self.share, self.share_at = min(1.0, max(self.THIN, share)), now
         tripped = self.count >= self.LEAST and self.failures > self.SHARE * self.count
-        return self.open(now) if tripped and (self.whole or self.run >= self.LEAST) else ""
+        if self.run >= self.LEAST or (tripped and (self.whole or self.share <= self.THIN)):
+            return self.open(now)
+        return ""
 
     def taking(self, now: int) -> float:
         return min(1.0, self.share * 2 ** min(9.0, (now - self.share_at) / self.COOL_DOWN))
