--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -588,7 +588,9 @@
         if filled or (event.result in ("shed", "expired") and blamed is not source):
             # a dead source is the breaker's matter; the limit answers one that works, but late
             node = self.origin if self.origin and (behind or blamed is self.origin) else source
-            if late or not filled:
+            if node is not self.origin:
+                pass
+            elif late or not filled:
                 node.limit = max(4.0, node.limit * 0.95)
             elif node.out + 1 >= 0.8 * node.limit or event.note == 3:
                 node.limit = min(64.0, node.limit + 2 / node.limit)
