--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -99,7 +99,7 @@
             self.count, self.failures = self.count - count, self.failures - failures
         # one that fails in part is crowded: its share is thinned, so that the next in order don't get it all
         if not self.whole and self.failures < self.count:
-            share = self.taking(now) * (0.85 if weight >= 1 else 1.05)
+            share = self.taking(now) * (0.85 if weight > 0.5 else 1.05)
             self.share, self.share_at = min(1.0, max(self.THIN, share)), now
         tripped = self.count >= self.LEAST and self.failures > self.SHARE * self.count
         if self.run >= self.LEAST or (tripped and (self.whole or self.share <= self.THIN)):
@@ -582,6 +582,8 @@
             source.first_byte = usual * (1.019 if slow else 0.999)
             source.ok_at, source.run = self.now, 0
             judged = self.origin if behind and self.origin else source
+            if late and not event.first_byte and judged is not self.origin:
+                slow = 0.75
             self.note(judged, slow, judged in out.trials)
         elif blamed is not None and blamed is not out.cache:
             self.note(blamed, 1.0, blamed in out.trials)
