--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -573,29 +573,29 @@
         if event.result == "returned" and not filled:
             out.cost[1] = 0.0  # a hit asked nothing of it
         late = event.took > service.told.objective + service.told.stretch * (out.get.size or service.mean)
-        if filled and "link" not in event.load:  # not told: its steps balance where a quarter are late
-            self.link = min(16.0, self.link * 1.1) if late else max(1.0, self.link * (0.99 if out.get.size else 0.97))
+        judged = self.origin if behind and self.origin else source
+        # where no first byte is told, a late fill thins a parent, and never opens it; so does a late one recalled
+        slow = 0.75 if late and self.told.notes != "all" and judged.role == "parent" else 0.0
         if filled:
+            if "link" not in event.load:  # not told: balances where a tenth are late; unsized, large ones look late
+                ease = 0.99 if out.get.size else 0.97
+                self.link = min(16.0, self.link * 1.1) if late else max(1.0, self.link * ease)
             # half a failure: a first byte later than this source's usual 95th percentile
             usual = source.first_byte or 2.0 * event.first_byte
-            slow = 0.5 if event.first_byte > usual else 0.0
-            source.first_byte = usual * (1.019 if slow else 0.999)
+            slow = 0.5 if event.first_byte > usual else slow
+            source.first_byte = usual * (1.019 if event.first_byte > usual else 0.999)
             source.ok_at, source.run = self.now, 0
-            judged = self.origin if behind and self.origin else source
-            if late and not event.first_byte and judged is not self.origin:
-                slow = 0.75
             self.note(judged, slow, judged in out.trials)
         elif blamed is not None and blamed is not out.cache:
             self.note(blamed, 1.0, blamed in out.trials)
-        if filled or (event.result in ("shed", "expired") and blamed is not source):
-            # a dead source is the breaker's matter; the limit answers one that works, but late
-            node = self.origin if self.origin and (behind or blamed is self.origin) else source
-            if node is not self.origin:
-                pass
-            elif late or not filled:
-                node.limit = max(4.0, node.limit * 0.95)
-            elif node.out + 1 >= 0.8 * node.limit or event.note == 3:
-                node.limit = min(64.0, node.limit + 2 / node.limit)
+        elif event.result == "recalled" and slow and out.cache.ok_at > out.sent:
+            self.note(source, slow, False)
+        if (origin := self.origin) and (origin is blamed or origin is judged):
+            # a dead one is the breaker's matter; the limit answers one that works, but late
+            if filled and not late and (origin.out + 1 >= 0.8 * origin.limit or event.note == 3):
+                origin.limit = min(64.0, origin.limit + 2 / origin.limit)
+            elif (late and filled) or event.result in ("shed", "expired"):
+                origin.limit = max(4.0, origin.limit * 0.95)
 
     def learn(self, get: Get, cache: Node, event: i.ForwardEnded) -> None:
         service, beyond = get.service, event.took - get.size  # its steps balance at the 95th percentile
