--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -18,7 +18,7 @@
 MASK = (1 << 64) - 1
 MS, S = 10, 10_000
 END, LINE, ASK = -1, -2, -3  # what is due besides a look at a leg
-LIMITS = (64.0, 32.0)  # first limits of a source, and of a cache for all gateways of its location; soon found
+FIRST = {"cache": 32.0, "origin": 64.0}  # limits at first, a cache's for all gateways of its location
 
 
 class Chance:
@@ -56,15 +56,15 @@
     MAJORITY = 2  # of three trials, the design's
     THIN = 1 / 16  # a smaller share is as good as Open
 
-    def __init__(self, chance: Chance) -> None:
-        self.chance, self.whole = chance, False
+    def __init__(self, chance: Chance, whole: bool = False) -> None:
+        self.chance, self.whole = chance, whole  # whole: opens as in the design, and is never thinned
         self.reset()
 
     def reset(self) -> None:
         self.state, self.cool_down = "Closed", self.COOL_DOWN
         self.until = 0  # of Open: end of the cool-down; of Half-Open: when the next trial may go
         self.trying, self.good, self.run = False, 0, 0
-        self.share, self.share_at = 1.0, 0  # of its objects, what it takes; halved while it fails in part
+        self.share, self.share_at = 1.0, 0  # of its objects, what it takes; thinned while it fails in part
         self.buckets: deque[list[float]] = deque()  # start, count, failures; emptied as the window rolls
         self.count = self.failures = 0.0
 
@@ -97,16 +97,16 @@
         while self.buckets[0][0] <= now - self.WINDOW:
             _, count, failures = self.buckets.popleft()
             self.count, self.failures = self.count - count, self.failures - failures
-        # one that fails in part is crowded: its share is thinned, so that the next in order don't get it all
+        # one that gives some is crowded: it is thinned, so that the next in order don't get its whole share cold;
+        # the steps balance at a fifth of failures
         if not self.whole and self.failures < self.count:
-            share = self.taking(now) * (0.85 if weight > 0.5 else 1.05)
+            share = self.takes(now) * (0.85 if weight > 0.5 else 1.05)
             self.share, self.share_at = min(1.0, max(self.THIN, share)), now
         tripped = self.count >= self.LEAST and self.failures > self.SHARE * self.count
-        if self.run >= self.LEAST or (tripped and (self.whole or self.share <= self.THIN)):
-            return self.open(now)
-        return ""
+        opens = self.run >= self.LEAST or (tripped and (self.whole or self.share <= self.THIN))
+        return self.open(now) if opens else ""
 
-    def taking(self, now: int) -> float:
+    def takes(self, now: int) -> float:
         return min(1.0, self.share * 2 ** min(9.0, (now - self.share_at) / self.COOL_DOWN))
 
     def open(self, now: int) -> str:
@@ -124,7 +124,6 @@
         self.mean = float(told.objective)  # sending time; starts high, which is careful with cold caches
         self.usual = told.objective / 2  # 95th percentile of the time beyond a told sending time
         self.hold = told.objective // 4  # held longer, no time is left to send within the objective
-        self.longest = 0  # time left to a GET, as its client came
 
 
 class Node:
@@ -133,17 +132,22 @@
     def __init__(self, place: int, entry: i.Entry, role: str, chance: Chance) -> None:
         self.place, self.entry, self.role, self.name = place, entry, role, entry.cache
         self.hash = digest(entry.cache)
-        self.breaker = Breaker(chance)
+        self.breaker = Breaker(chance, role == "origin")
         self.active = False
         self.out = 0  # forwards out to it, or naming it as source
-        self.held = -1.0  # GETs it holds for all gateways, as it told last; -1: not told
-        self.limit = LIMITS[0]  # of those; found by trying
+        self.held, self.held_at = 0.0, -S  # GETs it holds for all gateways, as it told last, and when
+        self.reset()
         self.run = 0  # troubles since its last good sign (of a cache any answer, of a source a fill)
         self.ok_at = -S  # last good fill
         self.spent: deque[list[float]] = deque()  # when, sending time asked of it; emptied as the span rolls
         self.flow, self.flow_at = 0.0, 0  # sending time asked of it in a tenth of a ms, smoothed
         self.first_byte = 0.0  # usual high percentile, 0: none seen
 
+    def reset(self) -> None:
+        """A new process: what was seen of the old one says nothing."""
+        self.breaker.reset()
+        self.limit = FIRST.get(self.role, FIRST["origin"])  # forwards that fit; found by trying
+
 
 @dataclass(slots=True, eq=False)
 class Get:
@@ -157,13 +161,13 @@
     size: int  # told sending time, 0: not told
     end: int
     density: float  # revenue for a unit of sending time: in a line, the most goes first
+    luck: float  # drawn as it came: the unlucky are left out while only a part fits
     legs: int = 0
     out: dict[int, Out] = field(default_factory=dict)
     avoid: set[int] = field(default_factory=set)
     ran: tuple[int, Node] | None = None  # first forward that may have run
     held: int = -1  # since when, -1: not held
     want: int = 0  # place of the cache in whose line it is held
-    luck: float = 0.0  # drawn as it came: who is left out where only a share fits
     lacked: int = 0  # 1: its cache has no copy, a fill helps; 2: nor has its parent, the origin helps
     streamed: bool = False
 
@@ -227,7 +231,7 @@
         self.lines: list[list[tuple[bool, float, int, int]]] = []  # by cache: further, -density, since, GET
         self.purges: dict[str | int, int] = {}  # object or group: when; emptied when copies have settled
         self.swept = 0
-        self.link = 1.0
+        self.link = 1.0  # how full the link into the location is, 1: just full
         self.stock = max(2.0, 20 / self.told.location_gateways)  # each gateway's part of a small stock
         self.spare = self.stock / 2  # further forwards that may still go
         self.asks = 0
@@ -249,15 +253,12 @@
             if entry.cache not in self.places:
                 roles = {self.told.parent_model: "parent", self.told.origin_model: "origin"}
                 role = roles.get(entry.model, "cache" if entry.location == self.told.location else "")
-                node = self.places[entry.cache] = Node(len(self.nodes), entry, role, self.chance)
-                node.breaker.whole = role == "origin"
-                node.limit = LIMITS[1] if role == "cache" else LIMITS[0]
+                self.places[entry.cache] = Node(len(self.nodes), entry, role, self.chance)
                 self.nodes.append(self.places[entry.cache])
                 self.lines.append([])
             node = self.places[entry.cache]
             if entry.since and entry.since != node.entry.since:
-                node.breaker.reset()  # a new process: what was seen of the old one says nothing
-                node.limit = LIMITS[1] if node.role == "cache" else LIMITS[0]
+                node.reset()
             node.entry, node.active = entry, entry.state == "active"
         self.caches = [n for n in self.nodes if n.role == "cache" and n.active]
         self.parents = [n for n in self.nodes if n.role == "parent" and n.active]
@@ -270,14 +271,11 @@
         service.mean += 0.02 * (size - service.mean) if size else 0.0
         # a final answer in time: one tick before the client leaves, so that it is never late
         thing, group, end = event.thing, event.group, self.now + event.left - self.told.tick
-        service.longest = max(service.longest, event.left)
-        # a client's further try has less time left: told so, its latency objective may be past already
-        gone = service.told.viewer_timeout - event.left if event.left < 0.98 * service.longest else 0
-        revenue = service.told.revenue * (service.told.late_share if gone > service.told.objective else 1.0)
-        density = revenue / (size or service.mean)
+        density = service.told.revenue / (size or service.mean)
         self.density += 0.02 * (density - self.density)
-        get = self.gets[event.get] = Get(event.get, service, digest(thing), thing, group, size, end, density)
-        get.luck = self.chance.draw()
+        luck = self.chance.draw()
+        get = Get(event.get, service, digest(thing), thing, group, size, end, density, luck)
+        self.gets[event.get] = get
         self.spare = min(self.stock, self.spare + 0.2)  # a fifth of the GETs, and the stock
         self.plan(get.end, get.id, END)
         self.dispatch(get)
@@ -345,10 +343,11 @@
     def strained(self) -> bool:
         """The origin is slow or Open: parents give only what they hold; the rest waits for room there."""
         origin = self.origin if self.told.notes == "all" else None  # else it's not told what fails behind it
-        return origin is not None and (origin.limit < LIMITS[0] / 2 or origin.breaker.state != "Closed")
+        return origin is not None and (origin.limit < FIRST["origin"] / 2 or origin.breaker.state != "Closed")
 
     def fits(self, get: Get) -> bool:
-        return get.luck * self.link < 1.2
+        """Whether its fill still fits on the link into the location, by chance while that is over-full."""
+        return get.luck * self.link < 1.2  # 1.2 or 2: level on the days tried
 
     def overdue(self, get: Get) -> int:
         """When a forward is looked at: past the usual, or twice that where its size is not told."""
@@ -380,7 +379,7 @@
     def usable(self, node: Node, get: Get) -> bool:
         if node.place in get.avoid or not self.allows(node):
             return False
-        part = min(self.warmth(node), 1.0 if node.breaker.whole else node.breaker.taking(self.now))  # the same objects at every gateway
+        part = min(self.warmth(node), node.breaker.takes(self.now))  # the same objects at every gateway
         return (part >= 1 or mix(get.hash ^ 0x5DEECE66D, node.hash) < part) and self.cold_room(node, get)
 
     def allows(self, node: Node) -> bool:
@@ -396,7 +395,7 @@
         limit, shared = node.limit, self.told.location_gateways
         if self.sized and node.role == "cache":
             limit = 2.2 * node.entry.units * self.warmth(node)
-        if node.held < 0 or shared == 1:
+        if self.now - node.held_at >= S or shared == 1:  # old news could shut it for good
             return node.out / max(3.0, limit / shared)
         return max(node.out, node.held) / max(6.0, limit)
 
@@ -527,7 +526,8 @@
         get.out.pop(out.leg, None)
         for node in out.parts:
             node.out -= 1
-        cache.held = event.load.get("held", cache.held)
+        if "held" in event.load:
+            cache.held, cache.held_at = event.load["held"], self.now
         self.link = event.load.get("link", self.link)
         good, alive = event.result == "returned", event.result in ("returned", "lacking")
         filled = event.note in (2, 3) or (good and self.told.notes == "none")
