--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -528,6 +528,10 @@
             node.out -= 1
         if "held" in event.load:
             cache.held, cache.held_at = event.load["held"], self.now
+        elif "busy" in event.load and self.sized:  # all cores busy: more than it shows, and more each time
+            fit, busy = cache.entry.units * self.warmth(cache), event.load["busy"]
+            cache.held = busy * fit if busy < 0.95 else min(4 * fit, 1.1 * max(fit, cache.held))
+            cache.held_at = self.now
         self.link = event.load.get("link", self.link)
         good, alive = event.result == "returned", event.result in ("returned", "lacking")
         filled = event.note in (2, 3) or (good and self.told.notes == "none")
