--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -347,7 +347,7 @@
 
     def fits(self, get: Get) -> bool:
         """Whether its fill still fits on the link into the location, by chance while that is over-full."""
-        return get.luck * self.link < 1.0  # 1.2 or 2: level on the days tried
+        return get.luck * self.link < 1.2  # 1.2 or 2: level on the days tried
 
     def overdue(self, get: Get) -> int:
         """When a forward is looked at: past the usual, or twice that where its size is not told."""
@@ -513,9 +513,6 @@
         change = node.breaker.note(self.now, weight, trial)
         if change:
             self.actions.append(i.Trace(f"{node.role} {node.name} {change}"))
-            for get in self.gets.values():  # those under way there are looked at now
-                if any(node in (out.cache, out.source) for out in get.out.values()):
-                    self.plan(self.now, get.id, max(get.out))
             self.redispatch()
 
     def ended(self, event: i.ForwardEnded) -> None:
@@ -530,7 +527,7 @@
             cache.held, cache.held_at = event.load["held"], self.now
         elif "busy" in event.load and self.sized:  # all cores busy: more than it shows, and more each time
             fit, busy = cache.entry.units * self.warmth(cache), event.load["busy"]
-            cache.held = busy * fit if busy < 0.95 else min(4 * fit, 1.5 * max(fit, cache.held))
+            cache.held = busy * fit if busy < 0.9 else min(4 * fit, 1.5 * max(fit, cache.held))
             cache.held_at = self.now
         self.link = event.load.get("link", self.link)
         good, alive = event.result == "returned", event.result in ("returned", "lacking")
