--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -18,7 +18,6 @@
 MASK = (1 << 64) - 1
 MS, S = 10, 10_000
 END, LINE, ASK = -1, -2, -3  # what is due besides a look at a leg
-FIRST = {"cache": 32.0, "origin": 64.0}  # limits at first, a cache's for all gateways of its location
 
 
 class Chance:
@@ -66,7 +65,6 @@
         self.trying, self.good, self.run = False, 0, 0
         self.share, self.share_at = 1.0, 0  # of its objects, what it takes; thinned while it fails in part
         self.buckets: deque[list[float]] = deque()  # start, count, failures; emptied as the window rolls
-        self.count = self.failures = 0.0
 
     def allows(self, now: int) -> bool:
         if self.state == "Open" and now >= self.until:
@@ -93,16 +91,15 @@
             self.buckets.append([start, 0.0, 0.0])
         self.buckets[-1][1] += 1
         self.buckets[-1][2] += weight
-        self.count, self.failures = self.count + 1, self.failures + weight
         while self.buckets[0][0] <= now - self.WINDOW:
-            _, count, failures = self.buckets.popleft()
-            self.count, self.failures = self.count - count, self.failures - failures
+            self.buckets.popleft()
+        count, failures = (sum(bucket[field] for bucket in self.buckets) for field in (1, 2))
         # one that gives some is crowded: it is thinned, so that the next in order don't get its whole share cold;
         # the steps balance at a fifth of failures
-        if not self.whole and self.failures < self.count:
+        if not self.whole and failures < count:
             share = self.takes(now) * (0.85 if weight > 0.5 else 1.05)
             self.share, self.share_at = min(1.0, max(self.THIN, share)), now
-        tripped = self.count >= self.LEAST and self.failures > self.SHARE * self.count
+        tripped = count >= self.LEAST and failures > self.SHARE * count
         opens = self.run >= self.LEAST or (tripped and (self.whole or self.share <= self.THIN))
         return self.open(now) if opens else ""
 
@@ -112,7 +109,6 @@
     def open(self, now: int) -> str:
         self.state, self.until = "Open", now + int(self.cool_down * (1 + self.JITTER * self.chance.draw()))
         self.buckets.clear()
-        self.count = self.failures = 0.0
         return "Open"
 
 
@@ -140,13 +136,12 @@
         self.run = 0  # troubles since its last good sign (of a cache any answer, of a source a fill)
         self.ok_at = -S  # last good fill
         self.spent: deque[list[float]] = deque()  # when, sending time asked of it; emptied as the span rolls
-        self.flow, self.flow_at = 0.0, 0  # sending time asked of it in a tenth of a ms, smoothed
         self.first_byte = 0.0  # usual high percentile, 0: none seen
 
     def reset(self) -> None:
         """A new process: what was seen of the old one says nothing."""
         self.breaker.reset()
-        self.limit = FIRST.get(self.role, FIRST["origin"])  # forwards that fit; found by trying
+        self.limit = 32.0 if self.role == "cache" else 64.0  # forwards that fit; found by trying
 
 
 @dataclass(slots=True, eq=False)
@@ -167,7 +162,6 @@
     avoid: set[int] = field(default_factory=set)
     ran: tuple[int, Node] | None = None  # first forward that may have run
     held: int = -1  # since when, -1: not held
-    want: int = 0  # place of the cache in whose line it is held
     lacked: int = 0  # 1: its cache has no copy, a fill helps; 2: nor has its parent, the origin helps
     streamed: bool = False
 
@@ -228,7 +222,7 @@
         self.outs: dict[tuple[int, int], Out] = {}  # emptied by the end of each forward
         self.due: list[tuple[int, int, int]] = []  # when, GET, leg (or END, LINE, ASK); emptied by time
         self.armed = -1
-        self.lines: list[list[tuple[bool, float, int, int]]] = []  # by cache: further, -density, since, GET
+        self.line: list[tuple[bool, float, int, int]] = []  # further, -density, since, GET; emptied by holding
         self.purges: dict[str | int, int] = {}  # object or group: when; emptied when copies have settled
         self.swept = 0
         self.link = 1.0  # how full the link into the location is, 1: just full
@@ -255,7 +249,6 @@
                 role = roles.get(entry.model, "cache" if entry.location == self.told.location else "")
                 self.places[entry.cache] = Node(len(self.nodes), entry, role, self.chance)
                 self.nodes.append(self.places[entry.cache])
-                self.lines.append([])
             node = self.places[entry.cache]
             if entry.since and entry.since != node.entry.since:
                 node.reset()
@@ -290,24 +283,11 @@
         if get.held < 0:
             get.held = self.now
             self.plan(min(self.now + get.service.hold, get.end), get.id, LINE)
-        get.want = cache.place
-        heappush(self.lines[cache.place], (get.legs > 0, -get.density, get.held, get.id))
-
-    def drain_line(self, cache: Node) -> None:
-        line = self.lines[cache.place]
-        while line:
-            get = self.gets.get(line[0][3])
-            if get is not None and get.held >= 0 and get.want == cache.place:
-                if not self.room(get, cache) or self.pick_cache(get) is not cache:
-                    return
-                self.forward(get, cache)
-            heappop(line)
+        self.line.append((get.legs > 0, -get.density, get.held, get.id))
 
     def redispatch(self) -> None:
-        """Held GETs look for a cache again, after a change of the list or of a breaker."""
-        waiting = sorted(entry for line in self.lines for entry in line)
-        for line in self.lines:
-            line.clear()
+        """Held GETs look for room again, in order: a forward ended, or the list or a breaker changed."""
+        waiting, self.line = sorted(self.line), []
         for entry in waiting:
             get = self.gets.get(entry[3])
             if get is not None and get.held >= 0:
@@ -341,9 +321,10 @@
         self.plan(now + self.overdue(get), get.id, out.leg)
 
     def strained(self) -> bool:
-        """The origin is slow or Open: parents give only what they hold; the rest waits for room there."""
-        origin = self.origin if self.told.notes == "all" else None  # else it's not told what fails behind it
-        return origin is not None and (origin.limit < FIRST["origin"] / 2 or origin.breaker.state != "Closed")
+        """The origin is slow (half its first limit) or Open: parents give only what they hold; the rest waits for
+        room there. Only where notes tell all: else it's not told what fails behind a parent."""
+        origin = self.origin if self.told.notes == "all" else None
+        return origin is not None and (origin.limit < 32 or origin.breaker.state != "Closed")
 
     def fits(self, get: Get) -> bool:
         """Whether its fill still fits on the link into the location, by chance while that is over-full."""
@@ -433,13 +414,12 @@
 
     def warmth(self, node: Node) -> float:
         """Share of its capacity that a cache or parent is sure to have; 1: warm."""
-        told, parent = self.told, node.role == "parent"
-        share = told.parent_cold_share if parent else told.cold_share
-        lasts = told.parent_cold_for if parent else told.cold_for
-        age = max(0, self.now - node.entry.since)
-        if node.role == "origin" or not node.entry.since or age >= lasts:
-            return 1.0
-        return share + (1 - share) * age / lasts
+        told, age = self.told, max(0, self.now - node.entry.since)
+        share, lasts = told.cold_share, told.cold_for
+        if node.role == "parent":
+            share, lasts = told.parent_cold_share, told.parent_cold_for
+        warm = node.role == "origin" or not node.entry.since or age >= lasts
+        return 1.0 if warm else share + (1 - share) * age / lasts
 
     def cold_room(self, node: Node, get: Get) -> bool:
         """Cold budget. A cold cache or parent gets the objects of its warm share, the same at every gateway,
@@ -452,21 +432,19 @@
         capacity = node.entry.units / (told.gateways if parent else told.location_gateways)
         if not self.sized:  # no size told: what warm ones like it get from this gateway
             like = [n for n in self.nodes if n.role == node.role and n.active and self.warmth(n) >= 1]
-            capacity = sum(map(self.flow, like)) / len(like) if like else 0.0
+            capacity = sum(self.asked(n, 3 * S) for n in like) / (3 * S * len(like)) if like else 0.0
         room = 0.6 * multiple * warmth * capacity * told.cold_span  # the rest is left to chance
-        spent = sum(cost for when, cost in node.spent if when > self.now - told.cold_span)
-        return spent + get.service.mean <= room
+        return self.asked(node, told.cold_span) + get.service.mean <= room
 
     def spend(self, node: Node, get: Get) -> list[float]:
         cost = [float(self.now), get.service.mean]
         node.spent.append(cost)
-        while node.spent[0][0] < self.now - self.told.cold_span:
+        while node.spent[0][0] < self.now - max(3 * S, self.told.cold_span):
             node.spent.popleft()
-        node.flow, node.flow_at = self.flow(node) + cost[1] / (3 * S), self.now
         return cost
 
-    def flow(self, node: Node) -> float:
-        return node.flow * math.exp((node.flow_at - self.now) / (3 * S))
+    def asked(self, node: Node, span: int) -> float:
+        return sum(cost for when, cost in node.spent if when > self.now - span)
 
     def oldest(self, get: Get, copies_only: bool) -> int:
         """Purge: the oldest copy that will do, until all have settled; 0: as fresh as the service wants."""
@@ -480,18 +458,21 @@
     def judge(self, out: Out, event: i.ForwardEnded | None) -> Node | None:
         """Whom a forward's trouble is put down to; None: it proves nothing. `event` is None for one overdue.
 
-        Where a note tells, the note holds. Else the one with the longer run of troubles since its last good
-        sign is at fault; in doubt the cache, so that a dead cache or location opens no source."""
-        cache, source = out.cache, out.source
-        if event and (event.note in (8, 9) or event.result in ("lacking", "unsent", "recalled")):
+        Where a note tells, the note holds. A refusal later than the cache's own would come is its source's, and so
+        is a run of silence while the cache answers others. Else the cache is in doubt and is looked at first, so
+        that a dead cache or location opens no source, and a dead source no cache."""
+        cache, source, note, result = out.cache, out.source, 0, ""
+        if event:
+            note, result = event.note, event.result
+        if note in (8, 9) or result in ("lacking", "unsent", "recalled"):
             return None
-        if event and event.note == 10:
+        if note == 10:
             return self.origin
-        if event and event.note in (6, 7) and source is not cache:
-            return self.waited(out) if event.took > S // 2 else source
-        if event and event.result == "unreached":
+        if result == "unreached":
             return cache
-        if source is not cache and event and event.result == "shed" and event.took > self.NEAR:
+        if source is not cache and event and note in (6, 7):
+            return self.waited(out) if event.took > S // 2 else source
+        if source is not cache and event and result == "shed" and event.took > self.NEAR:
             return source
         if source is not cache and cache.ok_at > out.sent:
             source.run += 1
@@ -533,8 +514,9 @@
         good, alive = event.result == "returned", event.result in ("returned", "lacking")
         filled = event.note in (2, 3) or (good and self.told.notes == "none")
         blamed = None if good or out.judged else self.judge(out, event)
+        if alive:
+            cache.run, cache.ok_at = 0, self.now
         if alive or blamed is cache:
-            cache.run, cache.ok_at = (0, self.now) if alive else (cache.run, cache.ok_at)
             self.note(cache, float(blamed is cache), cache in out.trials)
         if source is not cache:
             self.source_ended(out, event, blamed, good and filled)
@@ -565,8 +547,7 @@
                     self.dispatch(get)
                 elif not get.out:
                     self.give_up(get)
-        for node in self.caches:
-            self.drain_line(node)
+        self.redispatch()
 
     def source_ended(self, out: Out, event: i.ForwardEnded, blamed: Node | None, filled: bool) -> None:
         """A source is judged by fills, not by hits."""
@@ -657,15 +638,14 @@
                 self.give_up(get)
             elif out := get.out.get(what):
                 self.look(get, out)
-        waiting = any(self.lines)
         if self.now - self.swept >= S // 10:
             self.swept = self.now
             settled = self.now - self.told.purge_settles
             self.purges = {key: when for key, when in self.purges.items() if when > settled}
-            if waiting:
+            if self.line:
                 self.redispatch()
         when = min([self.due[0][0]] if self.due else [], default=self.now + S)
-        when = min(when, self.now + S // 10) if waiting else when
-        if (self.due or waiting) and (self.armed <= self.now or when < self.armed):
+        when = min(when, self.now + S // 10) if self.line else when
+        if (self.due or self.line) and (self.armed <= self.now or when < self.armed):
             self.armed = when
             self.actions.append(i.Wake(max(1, when - self.now)))
