--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -94,8 +94,8 @@
         while self.buckets[0][0] <= now - self.WINDOW:
             self.buckets.popleft()
         count, failures = (sum(bucket[field] for bucket in self.buckets) for field in (1, 2))
-        # one that gives some is crowded: it is thinned, so that the next in order don't get its whole share cold;
-        # the steps balance at a fifth of failures
+        # one that still gives some is thinned, so that the next in order don't get its whole share at once and
+        # cold; the steps balance at a fifth of failures
         if not self.whole and failures < count:
             share = self.takes(now) * (0.85 if weight > 0.5 else 1.05)
             self.share, self.share_at = min(1.0, max(self.THIN, share)), now
@@ -221,14 +221,12 @@
         self.gets: dict[int, Get] = {}  # emptied by final answers
         self.outs: dict[tuple[int, int], Out] = {}  # emptied by the end of each forward
         self.due: list[tuple[int, int, int]] = []  # when, GET, leg (or END, LINE, ASK); emptied by time
-        self.armed = -1
+        self.armed, self.swept, self.asks = -1, 0, 0
         self.line: list[tuple[bool, float, int, int]] = []  # further, -density, since, GET; emptied by holding
         self.purges: dict[str | int, int] = {}  # object or group: when; emptied when copies have settled
-        self.swept = 0
         self.link = 1.0  # how full the link into the location is, 1: just full
         self.stock = max(2.0, 20 / self.told.location_gateways)  # each gateway's part of a small stock
         self.spare = self.stock / 2  # further forwards that may still go
-        self.asks = 0
         self.density = 0.0  # usual revenue for a unit of sending time
         self.brim = 0.65 if self.told.joins else 0.8  # unjoined, each GET that spills costs a fill of its own
         self.sized = self.told.weights in ("nominal", "rough")
@@ -262,13 +260,11 @@
         service = self.services[event.service]
         size = int(event.size_kb / self.told.client_kb_per_s * S) if self.told.client_kb_per_s else 0
         service.mean += 0.02 * (size - service.mean) if size else 0.0
-        # a final answer in time: one tick before the client leaves, so that it is never late
-        thing, group, end = event.thing, event.group, self.now + event.left - self.told.tick
         density = service.told.revenue / (size or service.mean)
         self.density += 0.02 * (density - self.density)
-        luck = self.chance.draw()
-        get = Get(event.get, service, digest(thing), thing, group, size, end, density, luck)
-        self.gets[event.get] = get
+        # a final answer in time: one tick before the client leaves, so that it is never late
+        end, known = self.now + event.left - self.told.tick, (digest(event.thing), event.thing, event.group)
+        get = self.gets[event.get] = Get(event.get, service, *known, size, end, density, self.chance.draw())
         self.spare = min(self.stock, self.spare + 0.2)  # a fifth of the GETs, and the stock
         self.plan(get.end, get.id, END)
         self.dispatch(get)
@@ -296,11 +292,10 @@
     def forward(self, get: Get, cache: Node) -> None:
         now, told = self.now, get.service.told
         source = self.pick_source(get, cache)
-        copies = False
-        if source is not cache and not told.passes:
-            if not get.lacked and (source.out >= source.limit or cache.run or not self.fits(get)):
-                source = cache  # a crowded source or a cache in doubt: look first, and ask for what is lacking
-            copies = source.role == "parent" and get.lacked < 2 and self.strained()
+        crowded = source.out >= source.limit or not self.fits(get)
+        if (crowded or cache.run) and not get.lacked and not told.passes:
+            source = cache  # or a cache in doubt: look first, and ask a source only for what is lacking
+        copies = source.role == "parent" and not told.passes and get.lacked < 2 and self.strained()
         parts = [cache] if source is cache else [cache, source]
         cost = [self.spend(node, get) for node in parts][-1]
         if get.lacked == 2 and self.origin and source is not self.origin:
@@ -321,9 +316,8 @@
         self.plan(now + self.overdue(get), get.id, out.leg)
 
     def strained(self) -> bool:
-        """The origin is slow (half its first limit) or Open: parents give only what they hold; the rest waits for
-        room there. Only where notes tell all: else it's not told what fails behind a parent."""
-        origin = self.origin if self.told.notes == "all" else None
+        """The origin is slow (half its first limit) or Open: parents give what they hold, the rest waits."""
+        origin = self.origin if self.told.notes == "all" else None  # else it's not told what fails behind it
         return origin is not None and (origin.limit < 32 or origin.breaker.state != "Closed")
 
     def fits(self, get: Get) -> bool:
@@ -370,9 +364,9 @@
         return allowed
 
     def full(self, node: Node) -> float:
-        """How full a cache is, 1: no more fits. Where its size is told, 2.2 forwards to a transfer fit, since the
-        objective's stretch bears half the pace; else as many as were found by trying. What the cache told of its
-        load speaks for the other gateways of the location; where it tells nothing, each takes its part."""
+        """How full a cache is; at 1 no more fits. Where its size is told, 2.2 forwards to a transfer fit, since
+        the objective's stretch bears half the pace; else what was found by trying. What it told of its load counts
+        for all gateways of the location; where it tells nothing, each takes its part."""
         limit, shared = node.limit, self.told.location_gateways
         if self.sized and node.role == "cache":
             limit = 2.2 * node.entry.units * self.warmth(node)
@@ -409,8 +403,7 @@
 
     def may_shed(self, get: Get) -> bool:
         told = get.service.told
-        known = told.effect == "idempotent" or (told.effect, told.scope) == ("tokened", "all")
-        return known or get.ran is None
+        return get.ran is None or told.effect == "idempotent" or (told.effect, told.scope) == ("tokened", "all")
 
     def warmth(self, node: Node) -> float:
         """Share of its capacity that a cache or parent is sure to have; 1: warm."""
@@ -458,21 +451,19 @@
     def judge(self, out: Out, event: i.ForwardEnded | None) -> Node | None:
         """Whom a forward's trouble is put down to; None: it proves nothing. `event` is None for one overdue.
 
-        Where a note tells, the note holds. A refusal later than the cache's own would come is its source's, and so
-        is a run of silence while the cache answers others. Else the cache is in doubt and is looked at first, so
-        that a dead cache or location opens no source, and a dead source no cache."""
-        cache, source, note, result = out.cache, out.source, 0, ""
-        if event:
-            note, result = event.note, event.result
-        if note in (8, 9) or result in ("lacking", "unsent", "recalled"):
+        Where a note tells, the note holds. A refusal later than the cache's own would come is its source's, and
+        so is a run of silence while the cache answers others. Else the cache is in doubt and is looked at first:
+        a dead cache or location opens no source, and a dead source no cache."""
+        cache, source = out.cache, out.source
+        if event and (event.note in (8, 9) or event.result in ("lacking", "unsent", "recalled")):
             return None
-        if note == 10:
+        if event and event.note == 10:
             return self.origin
-        if result == "unreached":
+        if event and event.result == "unreached":
             return cache
-        if source is not cache and event and note in (6, 7):
+        if event and source is not cache and event.note in (6, 7):
             return self.waited(out) if event.took > S // 2 else source
-        if source is not cache and event and result == "shed" and event.took > self.NEAR:
+        if event and source is not cache and event.result == "shed" and event.took > self.NEAR:
             return source
         if source is not cache and cache.ok_at > out.sent:
             source.run += 1
@@ -494,7 +485,6 @@
         change = node.breaker.note(self.now, weight, trial)
         if change:
             self.actions.append(i.Trace(f"{node.role} {node.name} {change}"))
-            self.redispatch()
 
     def ended(self, event: i.ForwardEnded) -> None:
         out = self.outs.pop((event.get, event.leg), None)
@@ -556,11 +546,11 @@
             out.cost[1] = 0.0  # a hit asked nothing of it
         late = event.took > service.told.objective + service.told.stretch * (out.get.size or service.mean)
         judged = self.origin if behind and self.origin else source
-        # where no first byte is told, a late fill thins a parent, and never opens it; so does a late one recalled
+        # where no first byte is told, a late fill (a recalled one too) thins a parent, but never opens it
         slow = 0.75 if late and self.told.notes != "all" and judged.role == "parent" else 0.0
         if filled:
-            if "link" not in event.load:  # not told: balances where a tenth are late; unsized, large ones look late
-                ease = 0.99 if out.get.size else 0.97
+            if "link" not in event.load:
+                ease = 0.99 if out.get.size else 0.97  # balances at a tenth late; unsized, large ones look late
                 self.link = min(16.0, self.link * 1.1) if late else max(1.0, self.link * ease)
             # half a failure: a first byte later than this source's usual 95th percentile
             usual = source.first_byte or 2.0 * event.first_byte
@@ -644,8 +634,8 @@
             self.purges = {key: when for key, when in self.purges.items() if when > settled}
             if self.line:
                 self.redispatch()
-        when = min([self.due[0][0]] if self.due else [], default=self.now + S)
-        when = min(when, self.now + S // 10) if self.line else when
-        if (self.due or self.line) and (self.armed <= self.now or when < self.armed):
-            self.armed = when
-            self.actions.append(i.Wake(max(1, when - self.now)))
+        if self.due:
+            when = min(self.due[0][0], self.now + S // 10) if self.line else self.due[0][0]
+            if self.armed <= self.now or when < self.armed:
+                self.armed = when
+                self.actions.append(i.Wake(max(1, when - self.now)))
