--- a/damsonstream/bench/codec.py
+++ b/damsonstream/bench/codec.py
@@ -13,7 +13,7 @@
 US = 100  # microseconds in a tenth of a millisecond
 
 EFFECTS = {"idempotent": "idempotent", "deduplicated": "tokened", "at_most_once": "non-idempotent"}
-LOADS = {"concurrent": "held", "load_share": "busy", "x0": "hits", "x1": "link"}  # a cache's x1: its location's link
+LOADS = {"concurrent": "held", "load_share": "busy", "x0": "hits", "x1": "link"}  # x1 of a cache
 LIST_KINDS = {"D": "changes", "F": "full", "C": "cached", "X": "lost"}
 RESULTS = {
     "delivered": "returned",
--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -94,8 +94,8 @@
         while self.buckets[0][0] <= now - self.WINDOW:
             self.buckets.popleft()
         count, failures = (sum(bucket[field] for bucket in self.buckets) for field in (1, 2))
-        # one that still gives some is thinned, so that the next in order don't get its whole share at once and
-        # cold; the steps balance at a fifth of failures
+        # one that still gives some is thinned: the next in order don't get its share cold and at once; the
+        # steps balance at a fifth of failures
         if not self.whole and failures < count:
             share = self.takes(now) * (0.85 if weight > 0.5 else 1.05)
             self.share, self.share_at = min(1.0, max(self.THIN, share)), now
@@ -222,7 +222,7 @@
         self.outs: dict[tuple[int, int], Out] = {}  # emptied by the end of each forward
         self.due: list[tuple[int, int, int]] = []  # when, GET, leg (or END, LINE, ASK); emptied by time
         self.armed, self.swept, self.asks = -1, 0, 0
-        self.line: list[tuple[bool, float, int, int]] = []  # further, -density, since, GET; emptied by holding
+        self.line: list[tuple[bool, float, int, int]] = []  # further, -density, since, GET
         self.purges: dict[str | int, int] = {}  # object or group: when; emptied when copies have settled
         self.link = 1.0  # how full the link into the location is, 1: just full
         self.stock = max(2.0, 20 / self.told.location_gateways)  # each gateway's part of a small stock
@@ -276,6 +276,9 @@
             return self.give_up(get)
         if self.room(get, cache):
             return self.forward(get, cache)
+        self.hold(get)
+
+    def hold(self, get: Get) -> None:
         if get.held < 0:
             get.held = self.now
             self.plan(min(self.now + get.service.hold, get.end), get.id, LINE)
@@ -364,9 +367,9 @@
         return allowed
 
     def full(self, node: Node) -> float:
-        """How full a cache is; at 1 no more fits. Where its size is told, 2.2 forwards to a transfer fit, since
-        the objective's stretch bears half the pace; else what was found by trying. What it told of its load counts
-        for all gateways of the location; where it tells nothing, each takes its part."""
+        """How full a cache is; at 1 no more fits. Where its size is told, 2.2 forwards to a transfer fit (half the
+        pace will do, by the objective's stretch); else what was found by trying. The load it told counts for
+        all gateways of its location; where it told none lately, each takes its part."""
         limit, shared = node.limit, self.told.location_gateways
         if self.sized and node.role == "cache":
             limit = 2.2 * node.entry.units * self.warmth(node)
@@ -402,8 +405,8 @@
         return node.entry.location == ran.location and (scope == "zone" or node.entry.cell == ran.cell)
 
     def may_shed(self, get: Get) -> bool:
-        told = get.service.told
-        return get.ran is None or told.effect == "idempotent" or (told.effect, told.scope) == ("tokened", "all")
+        effect, scope = get.service.told.effect, get.service.told.scope
+        return get.ran is None or effect == "idempotent" or (effect, scope) == ("tokened", "all")
 
     def warmth(self, node: Node) -> float:
         """Share of its capacity that a cache or parent is sure to have; 1: warm."""
@@ -451,8 +454,8 @@
     def judge(self, out: Out, event: i.ForwardEnded | None) -> Node | None:
         """Whom a forward's trouble is put down to; None: it proves nothing. `event` is None for one overdue.
 
-        Where a note tells, the note holds. A refusal later than the cache's own would come is its source's, and
-        so is a run of silence while the cache answers others. Else the cache is in doubt and is looked at first:
+        Where a note tells, it holds. A refusal later than the cache's own would come is its source's, and so
+        is a run of silence while the cache answers others. Else the cache is in doubt and is looked at first:
         a dead cache or location opens no source, and a dead source no cache."""
         cache, source = out.cache, out.source
         if event and (event.note in (8, 9) or event.result in ("lacking", "unsent", "recalled")):
@@ -523,7 +526,7 @@
                 get.ran = None  # proved not to have run; an earlier one that may have stays
             if event.result == "lacking" and (out.copies or (source is cache and not get.lacked)):
                 get.lacked = 2 if out.copies else 1
-                shut = not self.fits(get) or out.copies and not (self.origin and self.allows(self.origin))
+                shut = not self.fits(get) or (out.copies and not (self.origin and self.allows(self.origin)))
                 if shut or self.pick_source(get, cache) is cache:
                     self.give_up(get)
                 else:
@@ -534,7 +537,7 @@
                     get.avoid.add((blamed or doubt).place)
                 if not get.out and self.spare >= 1:
                     self.spare -= 1  # spare ones only, against retry storms
-                    self.dispatch(get)
+                    self.hold(get)  # behind first forwards that wait
                 elif not get.out:
                     self.give_up(get)
         self.redispatch()
@@ -550,7 +553,7 @@
         slow = 0.75 if late and self.told.notes != "all" and judged.role == "parent" else 0.0
         if filled:
             if "link" not in event.load:
-                ease = 0.99 if out.get.size else 0.97  # balances at a tenth late; unsized, large ones look late
+                ease = 0.99 if out.get.size else 0.97  # balances at a tenth late; unsized, large ones look so
                 self.link = min(16.0, self.link * 1.1) if late else max(1.0, self.link * ease)
             # half a failure: a first byte later than this source's usual 95th percentile
             usual = source.first_byte or 2.0 * event.first_byte
@@ -583,7 +586,7 @@
     def look(self, get: Get, out: Out) -> None:
         """An overdue forward: who is at fault, and would a second copy help?"""
         blamed = None if out.judged else self.judge(out, None)
-        out.judged = blamed is not None
+        out.judged = blamed is not None  # else it counts again: silent twice the usual is twice the sign
         if blamed is not None:
             get.avoid.add(blamed.place)
             self.note(blamed, 1.0, blamed in out.trials)
