--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -163,7 +163,6 @@
     ran: tuple[int, Node] | None = None  # first forward that may have run
     held: int = -1  # since when, -1: not held
     lacked: int = 0  # 1: its cache has no copy, a fill helps; 2: nor has its parent, the origin helps
-    streamed: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -204,8 +203,7 @@
                 if get := self.gets.get(event.get):
                     self.close(get)
             case i.AnswerStarted():
-                if get := self.gets.get(event.get):
-                    get.streamed = True
+                if get := self.gets.pop(event.get, None):  # it is the client's now
                     self.recall(get, event.leg)
         self.run_due()
         return self.actions
@@ -237,7 +235,7 @@
         if event.kind == "lost":
             self.asks += 1
             wait = min(S << min(self.asks, 6), max(S, self.told.ask_within // 8))
-            return self.plan(self.now + int(wait * (0.5 + self.chance.draw())), 0, ASK)
+            return heappush(self.due, (self.now + int(wait * (0.5 + self.chance.draw())), 0, ASK))
         self.asks = 0
         for node in self.nodes:
             node.active &= event.kind == "changes"  # what a full list lacks is gone
@@ -266,22 +264,23 @@
         end, known = self.now + event.left - self.told.tick, (digest(event.thing), event.thing, event.group)
         get = self.gets[event.get] = Get(event.get, service, *known, size, end, density, self.chance.draw())
         self.spare = min(self.stock, self.spare + 0.2)  # a fifth of the GETs, and the stock
-        self.plan(get.end, get.id, END)
+        heappush(self.due, (get.end, get.id, END))
         self.dispatch(get)
 
     def dispatch(self, get: Get) -> None:
         """First forward or a further one: goes out, is held in line, or the GET is given up."""
         cache = self.pick_cache(get) if self.may_forward(get) else None
         if cache is None:
-            return self.give_up(get)
-        if self.room(get, cache):
-            return self.forward(get, cache)
-        self.hold(get)
+            self.give_up(get)
+        elif self.room(get, cache):
+            self.forward(get, cache)
+        else:
+            self.hold(get)
 
     def hold(self, get: Get) -> None:
         if get.held < 0:
             get.held = self.now
-            self.plan(min(self.now + get.service.hold, get.end), get.id, LINE)
+            heappush(self.due, (min(self.now + get.service.hold, get.end), get.id, LINE))
         self.line.append((get.legs > 0, -get.density, get.held, get.id))
 
     def redispatch(self) -> None:
@@ -316,7 +315,7 @@
         renew = told.fresh > 0 and not age and plain and self.warmth(source) >= 1
         join = self.told.joins and out.leg == 0 and not trials
         self.actions.append(i.Forward(get.id, cache.name, source.name, 1, 0, age, join, renew, copies))
-        self.plan(now + self.overdue(get), get.id, out.leg)
+        heappush(self.due, (now + self.overdue(get), get.id, out.leg))
 
     def strained(self) -> bool:
         """The origin is slow (half its first limit) or Open: parents give what they hold, the rest waits."""
@@ -367,9 +366,8 @@
         return allowed
 
     def full(self, node: Node) -> float:
-        """How full a cache is; at 1 no more fits. Where its size is told, 2.2 forwards to a transfer fit (half the
-        pace will do, by the objective's stretch); else what was found by trying. The load it told counts for
-        all gateways of its location; where it told none lately, each takes its part."""
+        """How full a cache is, 1: no more fits. What it told lately counts for all gateways of its place, or
+        each takes its part. 2.2 to a transfer: by the objective's stretch half the pace will do."""
         limit, shared = node.limit, self.told.location_gateways
         if self.sized and node.role == "cache":
             limit = 2.2 * node.entry.units * self.warmth(node)
@@ -389,7 +387,7 @@
     def may_forward(self, get: Get) -> bool:
         """Effect kinds: what may have run goes again only as its kind allows."""
         told = get.service.told
-        if get.streamed or self.now >= get.end or get.legs >= self.told.max_forwards:
+        if self.now >= get.end or get.legs >= self.told.max_forwards:
             return False
         if get.out and not self.told.second_copies:
             return False
@@ -477,11 +475,10 @@
     def waited(self, out: Out) -> Node | None:
         """A fill that ran out of time at a parent which gave others meanwhile waited for their origin. Guards
         against a slow origin that opens every parent. The last source Closed is not opened by silence."""
-        source = out.source
+        source, sources = out.source, (*self.parents, self.origin)
         gave = source.role == "parent" and source.ok_at >= out.sent and not out.copies
         if gave and self.told.notes == "all":
             return self.origin
-        sources = (*self.parents, self.origin)
         return source if any(n and n is not source and n.breaker.state == "Closed" for n in sources) else None
 
     def note(self, node: Node, weight: float, trial: bool) -> None:
@@ -521,7 +518,7 @@
             cache.limit = max(8.0, min(cache.limit, max(cache.out, cache.held) + 1.0) * 0.95)
         if event.over:
             self.close(get)
-        elif get.id in self.gets and not get.streamed:
+        elif get.id in self.gets:
             if event.result in ("shed", "lacking", "unreached", "unsent") and get.ran == (out.sent, cache):
                 get.ran = None  # proved not to have run; an earlier one that may have stays
             if event.result == "lacking" and (out.copies or (source is cache and not get.lacked)):
@@ -591,7 +588,7 @@
             get.avoid.add(blamed.place)
             self.note(blamed, 1.0, blamed in out.trials)
         if blamed is None and all(n.breaker.state == "Closed" for n in (out.cache, out.source)):
-            return self.plan(self.now + self.overdue(get), get.id, out.leg)
+            return heappush(self.due, (self.now + self.overdue(get), get.id, out.leg))
         further = len(get.out) == 1 and self.spare >= 1 and get.service.told.effect == "idempotent"
         cache = self.pick_cache(get) if further and self.may_forward(get) else None
         if cache is not None and self.told.cancel and "Open" in (n.breaker.state for n in out.parts):
@@ -616,27 +613,20 @@
         if self.told.cancel:
             self.actions.extend(i.Recall(get.id, leg) for leg in get.out if leg != but)
 
-    def plan(self, when: int, get: int, what: int) -> None:
-        heappush(self.due, (when, get, what))
-
     def run_due(self) -> None:
         while self.due and self.due[0][0] <= self.now:
             _, gid, what = heappop(self.due)
             get = self.gets.get(gid)
             if what == ASK:
                 self.actions.append(i.AskForList())
-            elif get is None or get.streamed:
-                continue
-            elif what == END or (what == LINE and 0 <= get.held <= self.now - get.service.hold):
+            elif get and (what == END or (what == LINE and 0 <= get.held <= self.now - get.service.hold)):
                 self.give_up(get)
-            elif out := get.out.get(what):
+            elif get and (out := get.out.get(what)):
                 self.look(get, out)
         if self.now - self.swept >= S // 10:
-            self.swept = self.now
-            settled = self.now - self.told.purge_settles
+            self.swept, settled = self.now, self.now - self.told.purge_settles
             self.purges = {key: when for key, when in self.purges.items() if when > settled}
-            if self.line:
-                self.redispatch()
+            self.redispatch()
         if self.due:
             when = min(self.due[0][0], self.now + S // 10) if self.line else self.due[0][0]
             if self.armed <= self.now or when < self.armed:
