--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -341,7 +341,7 @@
         if not fit and self.told.direct:
             fit = [n for n in self.sources(get) if self.keeps_scope(get, n)]
         if fit and self.full(fit[0]) >= self.brim:
-            return next((n for n in fit if self.full(n) < 0.3 / self.told.location_gateways), fit[0])
+            return next((n for n in fit if self.full(n) < 0.6 / max(2, self.told.location_gateways)), fit[0])
         return fit[0] if fit else None
 
     def sources(self, get: Get) -> list[Node]:
