--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -373,7 +373,8 @@
             limit = 2.2 * node.entry.units * self.warmth(node)
         if self.now - node.held_at >= S or shared == 1:  # old news could shut it for good
             return node.out / max(3.0, limit / shared)
-        return max(node.out, node.held) / max(6.0, limit)
+        fresh = min(1.0, 1.5 - (self.now - node.held_at) / S)
+        return max(node.out, node.held * fresh) / max(6.0, limit)
 
     def room(self, get: Get, cache: Node) -> bool:
         source = self.pick_source(get, cache) if get.lacked else cache
