--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -318,9 +318,13 @@
         heappush(self.due, (now + self.overdue(get), get.id, out.leg))
 
     def strained(self) -> bool:
-        """The origin is slow (half its first limit) or Open: parents give what they hold, the rest waits."""
-        origin = self.origin if self.told.notes == "all" else None  # else it's not told what fails behind it
-        return origin is not None and (origin.limit < 32 or origin.breaker.state != "Closed")
+        """The origin is slow (half its first limit) or Open, or most parents are in trouble at once, which may be
+        the origin's: parents give what they hold, the rest waits. A parent that lacks it is known to be alive."""
+        origin, told = self.origin, self.told.notes == "all"
+        doubtful = sum(n.breaker.state != "Closed" or n.breaker.run > 1 for n in self.parents)
+        if origin is None or (not told and 2 * doubtful > len(self.parents)):
+            return origin is not None
+        return origin.breaker.state != "Closed" or (told and origin.limit < 32)
 
     def fits(self, get: Get) -> bool:
         """Whether its fill still fits on the link into the location, by chance while that is over-full."""
@@ -466,7 +470,7 @@
         if event and source is not cache and event.note in (6, 7):
             return self.waited(out) if event.took > S // 2 else source
         if event and source is not cache and event.result == "shed" and event.took > self.NEAR:
-            return source
+            return out.parts[-1]  # the origin, where its parent was known to lack the object
         if source is not cache and cache.ok_at > out.sent:
             source.run += 1
             return self.waited(out) if source.run >= Breaker.LEAST else None
@@ -478,7 +482,7 @@
         against a slow origin that opens every parent. The last source Closed is not opened by silence."""
         source, sources = out.source, (*self.parents, self.origin)
         gave = source.role == "parent" and source.ok_at >= out.sent and not out.copies
-        if gave and self.told.notes == "all":
+        if (gave and self.told.notes == "all") or len(out.parts) > 2:
             return self.origin
         return source if any(n and n is not source and n.breaker.state == "Closed" for n in sources) else None
 
