--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -104,7 +104,7 @@
         return self.open(now) if opens else ""
 
     def takes(self, now: int) -> float:
-        return min(1.0, self.share * 2 ** min(9.0, (now - self.share_at) / self.COOL_DOWN))
+        return min(1.0, self.share * 2 ** min(9.0, (now - self.share_at) / (4 * self.COOL_DOWN)))
 
     def open(self, now: int) -> str:
         self.state, self.until = "Open", now + int(self.cool_down * (1 + self.JITTER * self.chance.draw()))
