--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -49,11 +49,11 @@
     WINDOW, BUCKETS = 3 * S, 100  # 10 s in the design: earlier good fills weigh too long (docs/design.md)
     LEAST = 5  # 20 in the design: a gateway sees a few fills a second at each source
     SHARE = 0.5  # the design's
-    COOL_DOWN, LONGEST = 5 * S, 300 * S  # the design's start, and the document's cap
+    COOL_DOWN, LONGEST = 5 * S, 5 * S  # the design's starts, also of the cap
     JITTER = 0.25  # up to so much on top, so that gateways do not try in step
     SPACING = S // 2  # between trials, the design's
     MAJORITY = 2  # of three trials, the design's
-    THIN = 1 / 16  # a smaller share is as good as Open
+    THIN, DOUBLES = 1 / 16, 20 * S  # least share of a thinned one; when it doubles (5 s undid thinning)
 
     def __init__(self, chance: Chance, whole: bool = False) -> None:
         self.chance, self.whole = chance, whole  # whole: opens as in the design, and is never thinned
@@ -95,16 +95,16 @@
             self.buckets.popleft()
         count, failures = (sum(bucket[field] for bucket in self.buckets) for field in (1, 2))
         # one that still gives some is thinned: the next in order don't get its share cold and at once; the
-        # steps balance at a fifth of failures
+        # steps balance at a seventh of failures
         if not self.whole and failures < count:
-            share = self.takes(now) * (0.85 if weight > 0.5 else 1.05)
+            share = self.takes(now) * (0.75 if weight > 0.5 else 1.05)
             self.share, self.share_at = min(1.0, max(self.THIN, share)), now
         tripped = count >= self.LEAST and failures > self.SHARE * count
         opens = self.run >= self.LEAST or (tripped and (self.whole or self.share <= self.THIN))
         return self.open(now) if opens else ""
 
     def takes(self, now: int) -> float:
-        return min(1.0, self.share * 2 ** min(9.0, (now - self.share_at) / (4 * self.COOL_DOWN)))
+        return min(1.0, self.share * 2 ** min(9.0, (now - self.share_at) / self.DOUBLES))
 
     def open(self, now: int) -> str:
         self.state, self.until = "Open", now + int(self.cool_down * (1 + self.JITTER * self.chance.draw()))
@@ -139,7 +139,6 @@
         self.first_byte = 0.0  # usual high percentile, 0: none seen
 
     def reset(self) -> None:
-        """A new process: what was seen of the old one says nothing."""
         self.breaker.reset()
         self.limit = 32.0 if self.role == "cache" else 64.0  # forwards that fit; found by trying
 
@@ -247,7 +246,7 @@
                 self.nodes.append(self.places[entry.cache])
             node = self.places[entry.cache]
             if entry.since and entry.since != node.entry.since:
-                node.reset()
+                node.reset()  # a new process: what was seen of the old one says nothing
             node.entry, node.active = entry, entry.state == "active"
         self.caches = [n for n in self.nodes if n.role == "cache" and n.active]
         self.parents = [n for n in self.nodes if n.role == "parent" and n.active]
@@ -318,13 +317,11 @@
         heappush(self.due, (now + self.overdue(get), get.id, out.leg))
 
     def strained(self) -> bool:
-        """The origin is slow (half its first limit) or Open, or most parents are in trouble at once, which may be
-        the origin's: parents give what they hold, the rest waits. A parent that lacks it is known to be alive."""
-        origin, told = self.origin, self.told.notes == "all"
-        doubtful = sum(n.breaker.state != "Closed" or n.breaker.run > 1 for n in self.parents)
-        if origin is None or (not told and 2 * doubtful > len(self.parents)):
-            return origin is not None
-        return origin.breaker.state != "Closed" or (told and origin.limit < 32)
+        """The origin is Open or slow (half its first limit), or most parents are in trouble at once, perhaps by
+        its fault: parents give what they hold, the rest waits. One that lacks it is known to be alive."""
+        origin, doubt = self.origin, 2 * sum(n.breaker.run > 1 for n in self.parents) > len(self.parents)
+        slow = origin is not None and (origin.limit < 32 if self.told.notes == "all" else doubt)
+        return slow or (origin is not None and origin.breaker.state != "Closed")
 
     def fits(self, get: Get) -> bool:
         """Whether its fill still fits on the link into the location, by chance while that is over-full."""
@@ -457,9 +454,8 @@
     def judge(self, out: Out, event: i.ForwardEnded | None) -> Node | None:
         """Whom a forward's trouble is put down to; None: it proves nothing. `event` is None for one overdue.
 
-        Where a note tells, it holds. A refusal later than the cache's own would come is its source's, and so
-        is a run of silence while the cache answers others. Else the cache is in doubt and is looked at first:
-        a dead cache or location opens no source, and a dead source no cache."""
+        Where a note tells, it holds. A refusal later than a cache's own comes is its source's, so is a run of
+        silence while the cache answers others. Else the cache is in doubt, and is looked at first."""
         cache, source = out.cache, out.source
         if event and (event.note in (8, 9) or event.result in ("lacking", "unsent", "recalled")):
             return None
