--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -53,7 +53,7 @@
     JITTER = 0.25  # up to so much on top, so that gateways do not try in step
     SPACING = S // 2  # between trials, the design's
     MAJORITY = 2  # of three trials, the design's
-    THIN, DOUBLES = 1 / 16, 20 * S  # least share of a thinned one; when it doubles (5 s undid thinning)
+    THIN, DOUBLES = 0.25, 20 * S  # least share of a thinned one, and how soon it doubles; level to half of it
 
     def __init__(self, chance: Chance, whole: bool = False) -> None:
         self.chance, self.whole = chance, whole  # whole: opens as in the design, and is never thinned
@@ -99,7 +99,7 @@
         if not self.whole and failures < count:
             share = self.takes(now) * (0.75 if weight > 0.5 else 1.05)
             self.share, self.share_at = min(1.0, max(self.THIN, share)), now
-        tripped = count >= self.LEAST and failures > self.SHARE * count
+        tripped = weight >= 1 and count >= self.LEAST and failures > self.SHARE * count
         opens = self.run >= self.LEAST or (tripped and (self.whole or self.share <= self.THIN))
         return self.open(now) if opens else ""
 
@@ -317,8 +317,8 @@
         heappush(self.due, (now + self.overdue(get), get.id, out.leg))
 
     def strained(self) -> bool:
-        """The origin is Open or slow (half its first limit), or most parents are in trouble at once, perhaps by
-        its fault: parents give what they hold, the rest waits. One that lacks it is known to be alive."""
+        """The origin is Open or slow (half its first limit), or most parents fail at once, which may be its
+        fault: parents give what they hold, the rest waits. One that lacks it is known to be alive."""
         origin, doubt = self.origin, 2 * sum(n.breaker.run > 1 for n in self.parents) > len(self.parents)
         slow = origin is not None and (origin.limit < 32 if self.told.notes == "all" else doubt)
         return slow or (origin is not None and origin.breaker.state != "Closed")
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -209,6 +209,22 @@
                 desk.end(get, "shed", took=300)
         self.assertLess(sum(desk.legs.values()), 15)
 
+    def test_most_parents_in_trouble_are_asked_for_copies(self) -> None:
+        """Parents that all refuse what they lack are alive: the origin opens, they go on giving copies."""
+        desk, returned = Desk("c1 c2 p1 p2 p3 o"), 0
+        for get in range(200):
+            desk.take(get)
+            while (get, desk.legs.get(get, 0) - 1) in desk.router.outs:
+                forward, kept = desk.sent[get, desk.legs[get] - 1], get % 2
+                returned += kept and forward.copies
+                looked = forward.source == forward.cache or (forward.copies and not kept)
+                result = "lacking" if looked else "returned" if kept else "shed"
+                desk.end(get, result, note=2 * kept, took=300)
+            desk.wait(300)
+        states = {n.name for n in desk.router.nodes if n.breaker.state != "Closed"}
+        self.assertEqual(states, {"o"})
+        self.assertGreater(returned, 50)
+
     def test_odd_lists(self) -> None:
         """Hundreds of lines, an old list after a restart, an id that comes back, an empty list."""
         desk = Desk(location_gateways=12, gateways=300)
