--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -99,8 +99,8 @@
         if not self.whole and failures < count:
             share = self.takes(now) * (0.75 if weight > 0.5 else 1.05)
             self.share, self.share_at = min(1.0, max(self.THIN, share)), now
-        tripped = weight >= 1 and count >= self.LEAST and failures > self.SHARE * count
-        opens = self.run >= self.LEAST or (tripped and (self.whole or self.share <= self.THIN))
+        over = count >= self.LEAST and failures > self.SHARE * count
+        opens = self.run >= self.LEAST or (over and (self.whole or (weight >= 1 and self.share <= self.THIN)))
         return self.open(now) if opens else ""
 
     def takes(self, now: int) -> float:
