--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -131,6 +131,7 @@
         self.breaker = Breaker(chance, role == "origin")
         self.active = False
         self.out = 0  # forwards out to it, or naming it as source
+        self.credit, self.credit_at = 0.0, -1  # sending time saved up for it while it is cold, and since when
         self.held, self.held_at = 0.0, -S  # GETs it holds for all gateways, as it told last, and when
         self.reset()
         self.run = 0  # troubles since its last good sign (of a cache any answer, of a source a fill)
@@ -418,8 +419,8 @@
         return 1.0 if warm else share + (1 - share) * age / lasts
 
     def cold_room(self, node: Node, get: Get) -> bool:
-        """Cold budget. A cold cache or parent gets the objects of its warm share, the same at every gateway,
-        and in any span no more than this gateway's part of what it bears (should misses come all at once)."""
+        """Cold budget. A cold cache or parent gets the objects of its warm share, the same at every gateway, and
+        no more than this gateway's part of what it bears, saved up where that is less than one GET in a span."""
         warmth, told = self.warmth(node), self.told
         if warmth >= 1:
             return True
@@ -428,20 +429,22 @@
         capacity = node.entry.units / (told.gateways if parent else told.location_gateways)
         if not self.sized:  # no size told: what warm ones like it get from this gateway
             like = [n for n in self.nodes if n.role == node.role and n.active and self.warmth(n) >= 1]
-            capacity = sum(self.asked(n, 3 * S) for n in like) / (3 * S * len(like)) if like else 0.0
-        room = 0.6 * multiple * warmth * capacity * told.cold_span  # the rest is left to chance
-        return self.asked(node, told.cold_span) + get.service.mean <= room
+            asked = sum(cost for n in like for when, cost in n.spent if when > self.now - 3 * S)
+            capacity = asked / (3 * S * len(like)) if like else 0.0
+        rate = 0.5 * multiple * warmth * capacity  # the rest is left to chance
+        most = max(rate * told.cold_span, *(service.mean for service in self.services))
+        if node.credit_at < node.entry.since:  # its start was just told: the gateways begin out of step
+            node.credit, node.credit_at = self.chance.draw() * most, self.now
+        node.credit, node.credit_at = min(most, node.credit + rate * (self.now - node.credit_at)), self.now
+        return node.credit >= get.service.mean
 
     def spend(self, node: Node, get: Get) -> list[float]:
-        cost = [float(self.now), get.service.mean]
+        cost, node.credit = [float(self.now), get.service.mean], node.credit - get.service.mean
         node.spent.append(cost)
-        while node.spent[0][0] < self.now - max(3 * S, self.told.cold_span):
+        while node.spent[0][0] < self.now - 3 * S:
             node.spent.popleft()
         return cost
 
-    def asked(self, node: Node, span: int) -> float:
-        return sum(cost for when, cost in node.spent if when > self.now - span)
-
     def oldest(self, get: Get, copies_only: bool) -> int:
         """Purge: the oldest copy that will do, until all have settled; 0: as fresh as the service wants."""
         told = get.service.told
