--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -299,13 +299,16 @@
             source = cache  # or a cache in doubt: look first, and ask a source only for what is lacking
         copies = source.role == "parent" and not told.passes and get.lacked < 2 and self.strained()
         parts = [cache] if source is cache else [cache, source]
-        cost = [self.spend(node, get) for node in parts][-1]
         if get.lacked == 2 and self.origin and source is not self.origin:
             parts.append(self.origin)  # behind a parent known to lack the object
         trials = [node for node in parts if node.breaker.state != "Closed"]
         for node in parts:
             node.out += 1
             node.breaker.trying |= node in trials
+            cost, node.credit = [float(now), get.service.mean], node.credit - get.service.mean
+            node.spent.append(cost)
+            while node.spent[0][0] < now - 3 * S:
+                node.spent.popleft()
         out = Out(get, get.legs, cache, source, now, cost, copies, parts, trials)
         get.legs, get.held = get.legs + 1, -1
         if told.effect != "idempotent" and get.ran is None:
@@ -419,8 +422,8 @@
         return 1.0 if warm else share + (1 - share) * age / lasts
 
     def cold_room(self, node: Node, get: Get) -> bool:
-        """Cold budget. A cold cache or parent gets the objects of its warm share, the same at every gateway, and
-        no more than this gateway's part of what it bears, saved up where that is less than one GET in a span."""
+        """Cold budget. A cold cache or parent gets the objects of its warm share, the same at every gateway,
+        and no more than this gateway's part of what it bears, saved up where that is less than one GET."""
         warmth, told = self.warmth(node), self.told
         if warmth >= 1:
             return True
@@ -438,13 +441,6 @@
         node.credit, node.credit_at = min(most, node.credit + rate * (self.now - node.credit_at)), self.now
         return node.credit >= get.service.mean
 
-    def spend(self, node: Node, get: Get) -> list[float]:
-        cost, node.credit = [float(self.now), get.service.mean], node.credit - get.service.mean
-        node.spent.append(cost)
-        while node.spent[0][0] < self.now - 3 * S:
-            node.spent.popleft()
-        return cost
-
     def oldest(self, get: Get, copies_only: bool) -> int:
         """Purge: the oldest copy that will do, until all have settled; 0: as fresh as the service wants."""
         told = get.service.told
