--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -124,8 +124,8 @@
 class Scale(TraceCase):
     """Many gateways, each of which sees little and shares its caches with others."""
 
-    def test_refusals_behind_caches_open_no_cache(self) -> None:
-        """A refusal that comes later than a cache's own could is its source's; at once, it is its own."""
+    def test_what_is_shed_behind_caches_opens_no_cache(self) -> None:
+        """What is shed later than a cache itself could is its source's; at once, its own."""
         for took, open_ones in ((300, {"p1", "p2", "o"}), (20, {"c1", "c2"})):
             desk = Desk(location_gateways=12)
             for get in range(40):
@@ -210,7 +210,7 @@
         self.assertLess(sum(desk.legs.values()), 15)
 
     def test_most_parents_in_trouble_are_asked_for_copies(self) -> None:
-        """Parents that all refuse what they lack are alive: the origin opens, they go on giving copies."""
+        """Parents that all shed what they lack are alive: the origin opens, they go on giving copies."""
         desk, returned = Desk("c1 c2 p1 p2 p3 o"), 0
         for get in range(200):
             desk.take(get)
