--- a/damsonstream/core/router.py
+++ b/damsonstream/core/router.py
@@ -453,7 +453,7 @@
     def judge(self, out: Out, event: i.ForwardEnded | None) -> Node | None:
         """Whom a forward's trouble is put down to; None: it proves nothing. `event` is None for one overdue.
 
-        Where a note tells, it holds. A GET shed later than a cache itself sheds is its source's, so is a run of
+        Where a note tells, it holds. What is shed later than a cache's own is its source's, so is a run of
         silence while the cache answers others. Else the cache is in doubt, and is looked at first."""
         cache, source = out.cache, out.source
         if event and (event.note in (8, 9) or event.result in ("lacking", "unsent", "recalled")):
