--- /dev/null
+++ b/damsonstream/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from damsonstream.program.cli import main
+
+sys.exit(main())
--- a/damsonstream/bench/__main__.py
+++ b/damsonstream/bench/__main__.py
@@ -8,8 +8,9 @@
 from typing import TextIO
 
 from damsonstream.bench import codec
-from damsonstream.core import interface
-from damsonstream.core.router import Router
+from damsonstream.program.config import US
+from damsonstream.routing import interface
+from damsonstream.routing.router import Router
 
 
 class Gateway:
@@ -34,7 +35,7 @@
         if name == "BEGIN_BATCH":
             if in_batch:
                 raise codec.WireError("BEGIN_BATCH inside a batch")
-            now, frame, in_batch, reply = int(parts["ts"]) // codec.US, parts["frame"], True, []
+            now, frame, in_batch, reply = int(parts["ts"]) // US, parts["frame"], True, []
             continue
         if not in_batch:
             raise codec.WireError(f"line outside a batch: {line[:60]!r}")
--- /dev/null
+++ b/damsonstream/program/serve.py
@@ -0,0 +1,147 @@
+"""One gateway: wires the layers together, follows signals, and ends when it is idle after SIGTERM."""
+
+from __future__ import annotations
+
+import logging
+import resource
+import signal
+import time
+from collections.abc import Awaitable
+
+import anyio
+
+from damsonstream.program.config import Config
+from damsonstream.program.counters import Counters
+from damsonstream.protocol import bulletin, fastcgi, resp
+from damsonstream.routing import life
+from damsonstream.routing.gateway import Clock, Gateway
+from damsonstream.transport import feed
+from damsonstream.transport.caches import Caches
+from damsonstream.transport.front import Answer, Front
+
+log = logging.getLogger(__name__)
+RESERVED = (
+    32  # descriptors that neither clients nor caches get: standard ones, the loop's, bulletin, listener
+)
+CLIENTS = 3  # clients hold one part in so many, the protocol's
+CACHE_BYTES = (
+    4  # a connection to a cache may hold one part of an object: all take a part in so many of the memory
+)
+CLIENT_BYTES = 4  # answers that wait for slow clients take one part in so many of the memory
+MB = 1 << 20
+LINGER = 0.7  # seconds for which GETs still come after SIGTERM, the protocol's
+
+HEALTH, PREFIX = b"/healthz", b"/v1/"
+
+
+class Server:
+    def __init__(self, config: Config) -> None:
+        self.config, self.counters = config, Counters()
+        count = self.counters.add
+        memory = config.memory_mb * MB
+        clients = config.sockets // CLIENTS
+        cache_most = min(config.sockets - clients - RESERVED, memory // CACHE_BYTES // resp.MOST_BODY)
+        self.gateway = Gateway(config.seed, config.footprint, Clock())
+        self.caches = Caches(
+            max(1, cache_most), config.streams, config.connect_timeout, config.idle - 1.0, count
+        )
+        self.front = Front(max(1, clients), memory // CLIENT_BYTES, self.open_get, count)
+        self.services = {service.name.encode(): n for n, service in enumerate(config.footprint.services)}
+        for event in config.known:
+            self.told(event)
+
+    def told(self, event: bulletin.Event) -> None:
+        if isinstance(event, bulletin.ListChanged):
+            self.caches.listed(event)
+        self.gateway.told(event)
+
+    def open_get(self, taken: fastcgi.Taken, answer: Answer) -> tuple[life.Get, Awaitable[None]] | None:
+        """A GET's fields; its life, or at once the answer of what needs none."""
+        script, fields = taken.fields.get(b"SCRIPT_NAME", b""), taken.fields
+        if script == HEALTH:
+            answer(fastcgi.answer(taken.id, b"200 OK", [(b"Content-Type", b"text/plain")], b"ready\n"))
+            return None
+        self.counters.add("taken")
+        if self.front.open > self.config.most_open:
+            self.counters.add("shed")
+            answer(fastcgi.ended(taken.id, fastcgi.OVERLOADED))
+            return None
+
+        def final(done: life.Final) -> None:
+            self.counters.add(done.outcome)
+            answer(self.words(taken.id, done))
+
+        try:
+            name = script.removeprefix(PREFIX)
+            ident, thing = fields[b"HTTP_X_TXN"], fields[b"HTTP_X_ROW"]
+            part, left = fields.get(b"HTTP_X_SLICE", b"0"), int(fields[b"HTTP_X_TTL_MS"])
+            group = int(fields.get(b"HTTP_X_SET", b"-1"))
+            token = fields.get(b"HTTP_X_TXN_KEY", b"")
+            service = self.services[name]
+            if not all(map(usable, (ident, thing, part))) or left <= 0 or (token and not usable(token)):
+                raise ValueError
+        except (KeyError, ValueError):
+            self.counters.add("unusable")
+            final(life.Final("errored"))
+            return None
+        holds = fields.get(b"HTTP_X_SEEN", b"").removeprefix(b"W/").strip(b'"')
+        same = resp.fields(name, thing, part, token, holds if usable(holds) else b"")
+        repeated = fields.get(b"HTTP_X_SECOND_TRY", b"") == b"1"
+        get = life.Get(ident, service, thing.decode(), group, left, repeated, same, taken.body)
+        return get, life.live(self.gateway, self.caches.send, get, final)
+
+    def words(self, id: int, final: life.Final) -> bytes:
+        match final.outcome:
+            case "returned" if final.same:
+                return fastcgi.answer(id, b"200 OK", [(b"X-Current", b"1"), (b"Content-Length", b"0")], b"")
+            case "returned":
+                return fastcgi.answer(
+                    id, b"200 OK", [(b"Content-Length", b"%d" % len(final.body))], final.body
+                )
+            case "shed":
+                wait = [(b"X-Throttle-Ms", b"%d" % final.come_back_ms)] if final.come_back_ms else []
+                return fastcgi.answer(id, b"503 Service Unavailable", wait, b"")
+        return fastcgi.answer(id, b"500 Internal Server Error", [], b"")
+
+    def report(self) -> None:
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        self.counters.peak("rss_mb", used.ru_maxrss // 1024)
+        self.counters.peak("cpu_s", round(used.ru_utime + used.ru_stime, 2))
+        log.info("counters", extra=self.counters.lines())
+
+    async def signals(self, scope: anyio.CancelScope) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as received:
+            async for number in received:
+                if number == signal.SIGUSR1:
+                    self.report()
+                    continue
+                until = time.monotonic() + LINGER
+                log.info("leaving", extra={"signal": number.name, "open": self.front.open})
+                while time.monotonic() < until or self.front.open:
+                    await anyio.sleep(0.02)
+                scope.cancel()
+                return
+
+    async def run(self) -> None:
+        host, port = self.config.listen
+        config = self.config
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.signals, group.cancel_scope)
+            group.start_soon(self.gateway.keep_time)
+            group.start_soon(self.caches.run)
+            group.start_soon(feed.follow, config.feed, config.last, config.locations,
+                             config.footprint.models, self.told, self.counters.add)  # fmt: skip
+            listener = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=1024)
+            log.info("ready", extra={"name_": config.name, "listen": f"{host}:{port}", "known": config.last})
+            while True:
+                try:
+                    await listener.serve(self.front.accept)
+                except Exception:
+                    log.exception("listener")
+                    await anyio.sleep(0.05)
+        self.report()
+
+
+def usable(text: bytes) -> bool:
+    """Whether it can stand in a list of fields of the caches' wire."""
+    return 0 < len(text) <= 64 and text.isalnum()
--- /dev/null
+++ b/damsonstream/routing/gateway.py
@@ -0,0 +1,128 @@
+"""Owns the router and its clock: events in, actions out to the tasks of the GETs.
+
+How it is called: `tell(event)` hands an event to the router; what it decides on a GET goes into that GET's
+`Inbox`, wakes are kept by `keep_time()`. Types of events and actions: `damsonstream/routing/interface.py`.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import deque
+from heapq import heappop, heappush
+from typing import Generic, TypeVar
+
+import anyio
+
+from damsonstream.protocol import bulletin
+from damsonstream.routing import interface as i
+from damsonstream.routing.router import Router
+
+log = logging.getLogger(__name__)
+Step = TypeVar("Step")
+TENTHS = 10  # tenths of a millisecond in a millisecond
+NS = 100_000  # nanoseconds in a tenth of a millisecond
+
+
+class Clock:
+    """The router's clock: monotonic tenths of a millisecond, set once by the Unix clock at the start.
+
+    The one place where Unix milliseconds become the router's time.
+    """
+
+    def __init__(self) -> None:
+        self.offset = time.time_ns() - time.monotonic_ns()
+
+    def now(self) -> int:
+        return (time.monotonic_ns() + self.offset) // NS
+
+    def since(self, unix_ms: int) -> int:
+        """A start as told, the same number each time it is told."""
+        return unix_ms * TENTHS
+
+    def age(self, unix_ms: int) -> int:
+        """How long ago that was by the Unix clock as it stands now."""
+        return max(0, time.time_ns() // NS - unix_ms * TENTHS)
+
+
+class Inbox(Generic[Step]):
+    """What the task of one GET has to do next; emptied by that task."""
+
+    def __init__(self) -> None:
+        self.steps: deque[Step] = deque()
+        self.filled = anyio.Event()
+
+    def put(self, step: Step) -> None:
+        self.steps.append(step)
+        self.filled.set()
+
+    async def next(self) -> Step:
+        while not self.steps:
+            self.filled = anyio.Event()
+            await self.filled.wait()
+        return self.steps.popleft()
+
+
+class Gateway:
+    def __init__(self, seed: int, footprint: i.Footprint, clock: Clock) -> None:
+        self.clock, self.router = clock, Router()
+        self.inboxes: dict[int, Inbox[i.Action]] = {}  # by GET; emptied as its task ends
+        self.wakes: list[int] = []  # emptied by time
+        self.rearmed = anyio.Event()
+        self.numbers = 0
+        self.tell(i.Started(seed, footprint))
+
+    def open(self, inbox: Inbox[i.Action]) -> int:
+        """A number for a GET, under which its task is found from now on."""
+        self.numbers += 1
+        self.inboxes[self.numbers] = inbox
+        return self.numbers
+
+    def close(self, get: int) -> None:
+        self.inboxes.pop(get, None)
+
+    def tell(self, event: i.Event) -> None:
+        now = self.clock.now()
+        for action in self.router.handle(now, event):
+            match action:
+                case i.Forward() | i.Recall() | i.Shed() | i.Errored():
+                    if (inbox := self.inboxes.get(action.get)) is not None:
+                        inbox.put(action)
+                case i.Wake():
+                    heappush(self.wakes, now + action.after)
+                    if self.wakes[0] == now + action.after:
+                        self.rearmed.set()
+                case i.Trace():
+                    log.info("decided", extra={"what": action.text})
+                case i.AskForList():
+                    pass  # the bulletin pushes
+
+    def told(self, event: bulletin.Event) -> None:
+        """News of the bulletin, in the router's words."""
+        match event:
+            case bulletin.ListChanged():
+                entries = tuple(
+                    i.Entry(line.cache, line.location, line.state, line.units, line.cell, line.model,
+                            self.clock.since(line.started_ms))
+                    for line in event.entries
+                )  # fmt: skip
+                self.tell(i.ListTold("full" if event.whole else "changes", entries))
+            case bulletin.PurgeTold():
+                self.tell(i.Purged(event.thing, event.group, self.clock.age(event.issued_ms)))
+
+    async def keep_time(self) -> None:
+        """Wakes the router when it asked to be woken."""
+        while True:
+            self.rearmed = anyio.Event()
+            left = (self.wakes[0] - self.clock.now()) / (1000 * TENTHS) if self.wakes else 3600.0
+            if left > 0:
+                with anyio.move_on_after(left):
+                    await self.rearmed.wait()
+                continue
+            while self.wakes and self.wakes[0] <= self.clock.now():
+                heappop(self.wakes)
+            try:
+                self.tell(i.Woken())
+            except Exception:
+                log.exception("wake")
+            await anyio.sleep(0)
--- /dev/null
+++ b/damsonstream/routing/life.py
@@ -0,0 +1,178 @@
+"""The life of one GET, top to bottom in one task, from being taken to its final answer.
+
+How it is called: `await live(gateway, send, get, answer)`; `answer` is called once, unless the client has
+left (`get.left()` tells). The router is asked at each point of choice through `gateway.tell`; nothing is
+decided here.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import anyio
+
+from damsonstream.protocol import resp
+from damsonstream.routing import interface as i
+from damsonstream.routing.gateway import TENTHS, Gateway, Inbox
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True, frozen=True)
+class Left:
+    """The client has gone, or no longer waits."""
+
+
+class Leg(Protocol):
+    """A forward that is out, as the transport holds it."""
+
+    def stop(self) -> None: ...
+
+
+Ending = resp.Answer | resp.Lost
+Sender = Callable[
+    [str, bytes, bytes, Callable[[Ending], None]], Leg
+]  # cache, ident, command, told of its end
+
+
+@dataclass(slots=True, frozen=True)
+class Ended:
+    leg: int
+    ending: Ending
+
+
+Step = i.Action | Left | Ended
+
+
+@dataclass(slots=True)
+class Out:
+    """A forward that is out: where, since when, and what it can be given up by."""
+
+    cache: str
+    sent: int
+    patience: int  # clock time at which it expires, 0: with the GET
+    handle: Leg
+
+
+@dataclass(slots=True)
+class Get:
+    """A GET as it was taken."""
+
+    ident: bytes
+    service: int
+    thing: str
+    group: int
+    left_ms: int
+    repeated: bool
+    same: bytes  # the fields that go on unchanged, ready for the cache's wire
+    body: bytes
+    inbox: Inbox[Step] = field(default_factory=Inbox)
+
+    def left(self) -> None:
+        self.inbox.put(Left())
+
+
+@dataclass(slots=True, frozen=True)
+class Final:
+    """The final answer: returned, shed or errored."""
+
+    outcome: str
+    body: bytes = b""
+    same: bool = False  # the client's copy is the one
+    come_back_ms: int = 0
+
+
+async def live(gateway: Gateway, send: Sender, get: Get, answer: Callable[[Final], None]) -> None:
+    clock, inbox, outs, legs, over = gateway.clock, get.inbox, dict[int, Out](), 0, False
+    end = clock.now() + get.left_ms * TENTHS
+    number = gateway.open(inbox)  # type: ignore[arg-type]
+
+    def ended(leg: int, ending: Ending, final: bool) -> None:
+        out = outs.pop(leg)
+        took = clock.now() - out.sent
+        if isinstance(ending, resp.Lost):
+            event = i.ForwardEnded(number, leg, out.cache, ending.result, took, 0, 0, final)
+        else:
+            event = i.ForwardEnded(number, leg, out.cache, ending.result, took, ending.waited_ms * TENTHS,
+                                   ending.note, final, ending.load)  # fmt: skip
+        gateway.tell(event)
+
+    def finish(final: Final) -> None:
+        nonlocal over
+        if not over:
+            over = True
+            answer(final)
+
+    try:
+        gateway.tell(
+            i.GetTaken(number, get.left_ms * TENTHS, get.service, get.thing, get.group, 0.0, get.repeated)
+        )
+        while not over or outs:
+            expiry = min((out.patience for out in outs.values() if out.patience), default=0)
+            if expiry:
+                with anyio.move_on_after((expiry - clock.now()) / (1000 * TENTHS)) as waiting:
+                    step = await inbox.next()
+                if waiting.cancelled_caught:
+                    leg = next(leg for leg, out in outs.items() if out.patience == expiry)
+                    outs[leg].handle.stop()
+                    ended(leg, resp.Lost("expired"), over)
+                    continue
+            else:
+                step = await inbox.next()
+            match step:
+                case i.Forward():
+                    leg, now = legs, clock.now()
+                    legs += 1
+                    wait = min(end, now + step.patience) if step.patience else end
+                    command = resp.forward(
+                        get.ident, get.same, get.body,
+                        wait_ms=max(1, (wait - now) // TENTHS),
+                        source=step.source if step.source != step.cache else "",
+                        rank=step.rank, age_ms=max(1, step.age // TENTHS) if step.age else 0,
+                        join=step.join, renew=step.renew, copies=step.copies,
+                    )  # fmt: skip
+
+                    def at_end(ending: Ending, leg: int = leg) -> None:
+                        inbox.put(Ended(leg, ending))
+
+                    out = Out(step.cache, now, now + step.patience if step.patience else 0, NOT_OUT)
+                    outs[leg] = out
+                    out.handle = send(step.cache, get.ident, command, at_end)
+                case Ended():
+                    if step.leg not in outs:
+                        continue  # given up meanwhile
+                    good = isinstance(step.ending, resp.Answer) and step.ending.result == "returned"
+                    if good and not over:
+                        assert isinstance(step.ending, resp.Answer)
+                        finish(Final("returned", step.ending.body, step.ending.same))
+                    ended(step.leg, step.ending, over)
+                case i.Recall():
+                    if step.leg in outs:
+                        outs[step.leg].handle.stop()
+                        ended(step.leg, resp.Lost("recalled"), over)
+                case i.Shed():
+                    finish(Final("shed", come_back_ms=step.come_back // TENTHS))
+                case i.Errored():
+                    finish(Final("errored"))
+                case Left():
+                    if not over:
+                        over = True
+                        gateway.tell(i.ClientLeft(number))
+    except Exception:
+        log.exception("life", extra={"get": get.ident})
+        finish(Final("errored"))
+    finally:
+        gateway.close(number)
+        for out in outs.values():
+            out.handle.stop()
+
+
+class NotOut:
+    def stop(self) -> None:
+        pass
+
+
+NOT_OUT = NotOut()
--- a/damsonstream/core/router.py
+++ b/damsonstream/routing/router.py
@@ -1,7 +1,7 @@
 """All decisions of one gateway.
 
 How it is called: `Router().handle(now, event)` takes what happened and returns what is to be done, in order;
-the first event is Started. Its interface, the types of events and actions: `damsonstream/core/interface.py`.
+the first event is Started. Interface, the types of events and actions: `damsonstream/routing/interface.py`.
 Routers share nothing. Times are whole tenths of a millisecond. docs/design.md explains the design's words.
 """
 
@@ -13,7 +13,7 @@
 from hashlib import blake2b
 from heapq import heappop, heappush
 
-from damsonstream.core import interface as i
+from damsonstream.routing import interface as i
 
 MASK = (1 << 64) - 1
 MS, S = 10, 10_000
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 from typing import Any
 
-from damsonstream.core import interface as i
-from damsonstream.core.router import Router
+from damsonstream.routing import interface as i
+from damsonstream.routing.router import Router
 
 S = 10_000
 TILES = i.DeliveryService("tiles", 6000, 2.0, 60000, 2.0, 0.15, "idempotent", "all", 0, False, 0, 0, False)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -8,8 +8,8 @@
 
 from damsonstream.bench import codec
 from damsonstream.bench.__main__ import host
-from damsonstream.core import interface as i
-from damsonstream.core.router import Breaker, Chance
+from damsonstream.routing import interface as i
+from damsonstream.routing.router import Breaker, Chance
 from tests.helpers import FOOTPRINT, ORDER, PAGES, TILES, Desk, S, TraceCase, entry
 
 
