--- a/damsonstream/program/cli.py
+++ b/damsonstream/program/cli.py
@@ -47,5 +47,5 @@
     from damsonstream.program.serve import Server
 
     logs.begin(level)
-    anyio.run(Server(told).run)
+    anyio.run(Server(told).run, backend_options={"use_uvloop": True})
     return 0
--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -6,9 +6,9 @@
 import resource
 import signal
 import time
-from collections.abc import Awaitable
 
 import anyio
+from anyio.abc import TaskGroup
 
 from damsonstream.program.config import Config
 from damsonstream.program.counters import Counters
@@ -47,6 +47,7 @@
         )
         self.front = Front(max(1, clients), memory // CLIENT_BYTES, self.open_get, count)
         self.services = {service.name.encode(): n for n, service in enumerate(config.footprint.services)}
+        self.lives: TaskGroup | None = None  # the tasks of the GETs
         for event in config.known:
             self.told(event)
 
@@ -55,14 +56,14 @@
             self.caches.listed(event)
         self.gateway.told(event)
 
-    def open_get(self, taken: fastcgi.Taken, answer: Answer) -> tuple[life.Get, Awaitable[None]] | None:
+    def open_get(self, taken: fastcgi.Taken, answer: Answer) -> life.Get | None:
         """A GET's fields; its life, or at once the answer of what needs none."""
         script, fields = taken.fields.get(b"SCRIPT_NAME", b""), taken.fields
         if script == HEALTH:
             answer(fastcgi.answer(taken.id, b"200 OK", [(b"Content-Type", b"text/plain")], b"ready\n"))
             return None
         self.counters.add("taken")
-        if self.front.open > self.config.most_open:
+        if len(self.gateway.inboxes) >= self.config.most_open:
             self.counters.add("shed")
             answer(fastcgi.ended(taken.id, fastcgi.OVERLOADED))
             return None
@@ -88,7 +89,9 @@
         same = resp.fields(name, thing, part, token, holds if usable(holds) else b"")
         repeated = fields.get(b"HTTP_X_SECOND_TRY", b"") == b"1"
         get = life.Get(ident, service, thing.decode(), group, left, repeated, same, taken.body)
-        return get, life.live(self.gateway, self.caches.send, get, final)
+        assert self.lives is not None
+        self.lives.start_soon(life.live, self.gateway, self.caches.send, get, final)
+        return get
 
     def words(self, id: int, final: life.Final) -> bytes:
         match final.outcome:
@@ -126,19 +129,15 @@
         host, port = self.config.listen
         config = self.config
         async with anyio.create_task_group() as group:
+            self.lives = group
             group.start_soon(self.signals, group.cancel_scope)
-            group.start_soon(self.gateway.keep_time)
+            self.gateway.keep_time()
             group.start_soon(self.caches.run)
             group.start_soon(feed.follow, config.feed, config.last, config.locations,
                              config.footprint.models, self.told, self.counters.add)  # fmt: skip
-            listener = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=1024)
+            server = await self.front.listen(host, port)
             log.info("ready", extra={"name_": config.name, "listen": f"{host}:{port}", "known": config.last})
-            while True:
-                try:
-                    await listener.serve(self.front.accept)
-                except Exception:
-                    log.exception("listener")
-                    await anyio.sleep(0.05)
+        server.close()
         self.report()
 
 
--- a/damsonstream/routing/gateway.py
+++ b/damsonstream/routing/gateway.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import time
 from collections import deque
 from heapq import heappop, heappush
 from typing import Generic, TypeVar
 
-import anyio
-
 from damsonstream.protocol import bulletin
 from damsonstream.routing import interface as i
 from damsonstream.routing.router import Router
@@ -50,16 +49,17 @@
 
     def __init__(self) -> None:
         self.steps: deque[Step] = deque()
-        self.filled = anyio.Event()
+        self.waiter: asyncio.Future[None] | None = None  # a future: an anyio.Event costs three times as much
 
     def put(self, step: Step) -> None:
         self.steps.append(step)
-        self.filled.set()
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
 
     async def next(self) -> Step:
         while not self.steps:
-            self.filled = anyio.Event()
-            await self.filled.wait()
+            self.waiter = asyncio.get_running_loop().create_future()
+            await self.waiter
         return self.steps.popleft()
 
 
@@ -68,7 +68,9 @@
         self.clock, self.router = clock, Router()
         self.inboxes: dict[int, Inbox[i.Action]] = {}  # by GET; emptied as its task ends
         self.wakes: list[int] = []  # emptied by time
-        self.rearmed = anyio.Event()
+        self.loop: asyncio.AbstractEventLoop | None = None
+        self.timer: asyncio.TimerHandle | None = None  # one, for the first of the wakes
+        self.armed = 0
         self.numbers = 0
         self.tell(i.Started(seed, footprint))
 
@@ -90,8 +92,7 @@
                         inbox.put(action)
                 case i.Wake():
                     heappush(self.wakes, now + action.after)
-                    if self.wakes[0] == now + action.after:
-                        self.rearmed.set()
+                    self.arm()
                 case i.Trace():
                     log.info("decided", extra={"what": action.text})
                 case i.AskForList():
@@ -110,19 +111,28 @@
             case bulletin.PurgeTold():
                 self.tell(i.Purged(event.thing, event.group, self.clock.age(event.issued_ms)))
 
-    async def keep_time(self) -> None:
-        """Wakes the router when it asked to be woken."""
-        while True:
-            self.rearmed = anyio.Event()
-            left = (self.wakes[0] - self.clock.now()) / (1000 * TENTHS) if self.wakes else 3600.0
-            if left > 0:
-                with anyio.move_on_after(left):
-                    await self.rearmed.wait()
-                continue
-            while self.wakes and self.wakes[0] <= self.clock.now():
-                heappop(self.wakes)
-            try:
+    def keep_time(self) -> None:
+        """Wakes the router when it asked to be woken, from now on."""
+        self.loop = asyncio.get_running_loop()
+        self.arm()
+
+    def arm(self) -> None:
+        if self.loop is None or not self.wakes or (self.timer is not None and self.armed <= self.wakes[0]):
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        self.armed = self.wakes[0]
+        self.timer = self.loop.call_later((self.armed - self.clock.now()) / (1000 * TENTHS), self.wake)
+
+    def wake(self) -> None:
+        self.timer = None
+        due = False
+        while self.wakes and self.wakes[0] <= self.clock.now():
+            heappop(self.wakes)
+            due = True
+        try:
+            if due:
                 self.tell(i.Woken())
-            except Exception:
-                log.exception("wake")
-            await anyio.sleep(0)
+        except Exception:
+            log.exception("wake")
+        self.arm()
--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -65,6 +65,7 @@
         self.trying, self.good, self.run = False, 0, 0
         self.share, self.share_at = 1.0, 0  # of its objects, what it takes; thinned while it fails in part
         self.buckets: deque[list[float]] = deque()  # start, count, failures; emptied as the window rolls
+        self.count, self.failures = 0.0, 0.0  # their sums
 
     def allows(self, now: int) -> bool:
         if self.state == "Open" and now >= self.until:
@@ -89,11 +90,13 @@
         start = now - now % (self.WINDOW // self.BUCKETS)
         if not self.buckets or self.buckets[-1][0] != start:
             self.buckets.append([start, 0.0, 0.0])
-        self.buckets[-1][1] += 1
-        self.buckets[-1][2] += weight
+        bucket = self.buckets[-1]
+        bucket[1], bucket[2] = bucket[1] + 1, bucket[2] + weight
+        count, failures = self.count + 1, self.failures + weight
         while self.buckets[0][0] <= now - self.WINDOW:
-            self.buckets.popleft()
-        count, failures = (sum(bucket[field] for bucket in self.buckets) for field in (1, 2))
+            _, old, gone = self.buckets.popleft()
+            count, failures = count - old, failures - gone
+        self.count, self.failures = count, failures
         # one that still gives some is thinned: the next in order don't get its share cold and at once; the
         # steps balance at a seventh of failures
         if not self.whole and failures < count:
@@ -109,6 +112,7 @@
     def open(self, now: int) -> str:
         self.state, self.until = "Open", now + int(self.cool_down * (1 + self.JITTER * self.chance.draw()))
         self.buckets.clear()
+        self.count = self.failures = 0.0
         return "Open"
 
 
@@ -162,6 +166,8 @@
     avoid: set[int] = field(default_factory=set)
     ran: tuple[int, Node] | None = None  # first forward that may have run
     held: int = -1  # since when, -1: not held
+    wants: Node | None = None  # held for room at it, None: at any
+    orders: dict[str, tuple[list[Node], list[Node]]] = field(default_factory=dict)  # by role: nodes, in order
     lacked: int = 0  # 1: its cache has no copy, a fill helps; 2: nor has its parent, the origin helps
 
 
@@ -275,21 +281,25 @@
         elif self.room(get, cache):
             self.forward(get, cache)
         else:
-            self.hold(get)
+            self.hold(get, None if get.lacked else cache)
 
-    def hold(self, get: Get) -> None:
+    def hold(self, get: Get, wants: Node | None) -> None:
+        get.wants = wants
         if get.held < 0:
             get.held = self.now
             heappush(self.due, (min(self.now + get.service.hold, get.end), get.id, LINE))
         self.line.append((get.legs > 0, -get.density, get.held, get.id))
 
-    def redispatch(self) -> None:
-        """Held GETs look for room again, in order: a forward ended, or the list or a breaker changed."""
+    def redispatch(self, freed: list[Node] | None = None) -> None:
+        """Held GETs look for room again, in order: a forward ended there, or (None) anything changed."""
         waiting, self.line = sorted(self.line), []
         for entry in waiting:
             get = self.gets.get(entry[3])
             if get is not None and get.held >= 0:
-                self.dispatch(get)
+                if freed is None or get.wants is None or get.wants in freed:
+                    self.dispatch(get)
+                else:
+                    self.line.append(entry)
 
     def forward(self, get: Get, cache: Node) -> None:
         now, told = self.now, get.service.told
@@ -337,8 +347,13 @@
 
     def order(self, nodes: list[Node], get: Get) -> list[Node]:
         """Rendezvous order; caches by their told size, where one is told that stays."""
-        sized = self.sized and nodes and nodes[0].role == "cache"
-        return sorted(nodes, key=lambda n: -math.log(mix(get.hash, n.hash)) / (n.entry.units if sized else 1))
+        role = nodes[0].role if nodes else ""
+        kept = get.orders.get(role)
+        if kept is None or kept[0] is not nodes:  # the list has changed since
+            weigh = self.sized and role == "cache"
+            rank = lambda n: -math.log(mix(get.hash, n.hash)) / (n.entry.units if weigh else 1)  # noqa: E731
+            kept = get.orders[role] = nodes, sorted(nodes, key=rank)
+        return kept[1]
 
     def pick_cache(self, get: Get) -> Node | None:
         """The object's home; a crowded one (by a hot object, say) spills in hash order to ample room."""
@@ -359,7 +374,11 @@
         return next(iter(self.sources(get)), cache)
 
     def usable(self, node: Node, get: Get) -> bool:
-        if node.place in get.avoid or not self.allows(node):
+        if node.place in get.avoid:
+            return False
+        if node.breaker.state == "Closed" and node.breaker.share >= 1 and not node.entry.since:
+            return True  # most are well; what follows says the same of them, for ten times the work
+        if not self.allows(node):
             return False
         part = min(self.warmth(node), node.breaker.takes(self.now))  # the same objects at every gateway
         return (part >= 1 or mix(get.hash ^ 0x5DEECE66D, node.hash) < part) and self.cold_room(node, get)
@@ -534,10 +553,10 @@
                     get.avoid.add((blamed or doubt).place)
                 if not get.out and self.spare >= 1:
                     self.spare -= 1  # spare ones only, against retry storms
-                    self.hold(get)  # behind first forwards that wait
+                    self.hold(get, None)  # behind first forwards that wait
                 elif not get.out:
                     self.give_up(get)
-        self.redispatch()
+        self.redispatch(out.parts)
 
     def source_ended(self, out: Out, event: i.ForwardEnded, blamed: Node | None, filled: bool) -> None:
         """A source is judged by fills, not by hits."""
--- a/damsonstream/transport/caches.py
+++ b/damsonstream/transport/caches.py
@@ -6,88 +6,93 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import time
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
-from anyio.abc import ByteStream, TaskGroup
+from anyio.abc import TaskGroup
 
 from damsonstream.protocol import bulletin, resp
+from damsonstream.transport.link import Link
 
 log = logging.getLogger(__name__)
-RECEIVE = 1 << 18  # bytes taken from a connection at once: a whole object
 SPENT = (
     256  # idents remembered as given up on a connection: late answers to them come within a few GETs' time
 )
-
-
 Ending = resp.Answer | resp.Lost
-Count = Callable[[str], None]
 
 
 @dataclass(slots=True, eq=False)
 class Leg:
-    connection: Connection | None
+    """A forward that is out."""
+
     ident: bytes
-    command: bytes
     at_end: Callable[[Ending], None]
-    written: bool = False  # may have come whole to the cache
+    connection: Connection | None = None
 
     def stop(self) -> None:
         if self.connection is not None:
             self.connection.give_up(self)
 
 
-@dataclass(slots=True, eq=False)
-class Connection:
-    pool: Pool
-    legs: dict[bytes, Leg] = field(default_factory=dict)  # by ident; emptied by answers, stops and its end
-    spent: OrderedDict[bytes, None] = field(default_factory=OrderedDict)  # given up; the oldest go first
-    queue: deque[Leg | bytes] = field(default_factory=deque)  # to be written; bounded by the streams
-    filled: anyio.Event = field(default_factory=anyio.Event)
-    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
-    used: float = field(default_factory=time.monotonic)
-    reason: str = ""
-    forwards: int = 0
-
-    def takes(self, ident: bytes, streams: int) -> bool:
-        return (
-            not self.reason
-            and len(self.legs) < streams
-            and ident not in self.legs
-            and ident not in self.spent
-        )
-
-    def put(self, item: Leg | bytes) -> None:
-        self.queue.append(item)
-        self.filled.set()
+class Connection(Link):
+    def __init__(self, pool: Pool, caches: Caches) -> None:
+        super().__init__()
+        self.pool, self.caches = pool, caches
+        self.decoder = resp.Decoder()
+        self.legs: dict[bytes, Leg] = {}  # by ident; emptied by answers, stops and its end
+        self.spent: OrderedDict[bytes, None] = OrderedDict()  # given up; the oldest go first
+        self.retired = ""  # why it takes nothing new
+        self.forwards = 0
+        self.closed = anyio.Event()
+
+    def takes(self, ident: bytes) -> bool:
+        fit = not self.reason and not self.retired and len(self.legs) < self.caches.streams
+        return fit and ident not in self.legs and ident not in self.spent
+
+    def forward(self, leg: Leg, command: bytes) -> None:
+        leg.connection = self
+        self.legs[leg.ident] = leg
+        self.forwards += 1
+        self.send(command)
 
     def give_up(self, leg: Leg) -> None:
         if self.legs.get(leg.ident) is not leg:
             return
         del self.legs[leg.ident]
-        if not leg.written:
-            self.queue.remove(leg)  # it never went
-            return
         self.spent[leg.ident] = None
         if len(self.spent) > SPENT:
             self.spent.popitem(last=False)
-        self.put(resp.stop(leg.ident))
+        self.send(resp.stop(leg.ident))
 
-    def end(self, reason: str) -> None:
-        self.reason = self.reason or reason
-        self.scope.cancel()
+    def took(self, data: bytes) -> None:
+        try:
+            for answer in self.decoder.feed(data):
+                leg = self.legs.pop(answer.ident, None)
+                if leg is None:
+                    self.spent.pop(answer.ident, None)  # late: it was given up
+                else:
+                    leg.at_end(answer)
+        except resp.Broken as fault:
+            log.warning("malformed", extra={"cache": self.pool.cache, "what": str(fault)})
+            self.end("malformed")
+        self.used = time.monotonic()
 
-    def answered(self, answer: resp.Answer) -> None:
-        leg = self.legs.pop(answer.ident, None)
-        if leg is None:
-            self.spent.pop(answer.ident, None)  # late: it was given up
+    def ended(self) -> None:
+        """Also called when it never came up: then nothing ran."""
+        if self.closed.is_set():
             return
-        self.used = time.monotonic()
-        leg.at_end(answer)
+        self.closed.set()
+        legs, self.legs = list(self.legs.values()), {}
+        told = {"side": "cache", "cache": self.pool.cache, "peer": self.pool.address, "reason": self.reason}
+        log.info("closed", extra={**told, "forwards": self.forwards, "left": len(legs)})
+        self.caches.parted(self)
+        for leg in legs:
+            leg.at_end(resp.Lost("broken" if self.transport is not None else "unreached"))
 
 
 @dataclass(slots=True, eq=False)
@@ -101,7 +106,9 @@
 
 
 class Caches:
-    def __init__(self, most: int, streams: int, connect_timeout: float, idle: float, count: Count) -> None:
+    def __init__(
+        self, most: int, streams: int, connect_timeout: float, idle: float, count: Callable[[str], None]
+    ) -> None:
         self.most, self.streams, self.connect_timeout, self.idle = most, streams, connect_timeout, idle
         self.counted = count
         self.pools: dict[str, Pool] = {}  # by cache; as long as the list
@@ -125,32 +132,28 @@
                 self.pools[line.cache] = Pool(line.cache, line.address, line.started_ms)
 
     def retire(self, pool: Pool, reason: str) -> None:
-        for connection in pool.connections:
+        for connection in list(pool.connections):
+            connection.retired = reason
             if reason == "restarted" or not connection.legs:
                 connection.end(reason)
-            else:
-                connection.reason = reason  # takes nothing new, ends when idle
 
     def send(self, cache: str, ident: bytes, command: bytes, at_end: Callable[[Ending], None]) -> Leg:
-        leg = Leg(None, ident, command, at_end)
+        leg = Leg(ident, at_end)
         pool = self.pools.get(cache)
         if pool is None or self.group is None:
             at_end(resp.Lost("unsent"))
             return leg
-        fit = [c for c in pool.connections if c.takes(ident, self.streams)]
+        fit = [connection for connection in pool.connections if connection.takes(ident)]
         connection = min(fit, key=lambda c: len(c.legs), default=None)
         if connection is None:
             if self.count >= self.most and not self.make_room():
                 at_end(resp.Lost("unsent"))
                 return leg
-            connection = Connection(pool)
+            connection = Connection(pool, self)
             pool.connections.append(connection)
             self.count += 1
             self.group.start_soon(self.serve, connection)
-        leg.connection = connection
-        connection.legs[ident] = leg
-        connection.forwards += 1
-        connection.put(leg)
+        connection.forward(leg, command)
         self.counted("forwarded")
         return leg
 
@@ -162,75 +165,32 @@
         min(idle, key=lambda c: c.used).end("room")
         return True
 
+    def parted(self, connection: Connection) -> None:
+        connection.pool.connections.remove(connection)
+        self.count -= 1
+        self.counted(f"cache.{connection.reason}")
+
     async def run(self) -> None:
         async with anyio.create_task_group() as self.group:
             while True:
                 await anyio.sleep(1)
                 before = time.monotonic() - self.idle
                 for connection in [c for pool in self.pools.values() for c in pool.connections]:
-                    if not connection.legs and (connection.used < before or connection.reason):
-                        connection.end("idle")
+                    if not connection.legs and (connection.used < before or connection.retired):
+                        connection.end(connection.retired or "idle")
 
     async def serve(self, connection: Connection) -> None:
         """One connection, from its opening to its end."""
-        pool, stream, opened = connection.pool, None, False
+        host, _, port = connection.pool.address.rpartition(":")
         try:
-            with connection.scope:
-                host, _, port = pool.address.rpartition(":")
-                with anyio.fail_after(self.connect_timeout):
-                    stream = await anyio.connect_tcp(host, int(port))
-                opened = True
-                async with anyio.create_task_group() as group:
-                    group.start_soon(self.write, connection, stream)
-                    reason = await self.read(connection, stream)
-                    connection.end(reason)
+            with anyio.fail_after(self.connect_timeout):
+                await asyncio.get_running_loop().create_connection(lambda: connection, host, int(port))
         except TimeoutError:
             connection.reason = connection.reason or "connect-timeout"
         except OSError:
             connection.reason = connection.reason or "refused"
-        except Exception:
-            log.exception("cache connection")
-            connection.reason = connection.reason or "fault"
-        finally:
-            pool.connections.remove(connection)
-            self.count -= 1
-            reason = connection.reason or "stopped"
-            connection.reason = reason
-            self.counted(f"cache.{reason}")
-            told = {"side": "cache", "cache": pool.cache, "peer": pool.address, "reason": reason}
-            log.info("closed", extra={**told, "forwards": connection.forwards, "open": len(connection.legs)})
-            legs = list(connection.legs.values())
-            connection.legs.clear()
-            for leg in legs:
-                leg.at_end(resp.Lost("broken" if opened and leg.written else "unreached"))
-            if stream is not None:
-                with anyio.CancelScope(shield=True):
-                    await anyio.aclose_forcefully(stream)
-
-    async def read(self, connection: Connection, stream: ByteStream) -> str:
-        decoder = resp.Decoder()
-        try:
-            while True:
-                for answer in decoder.feed(await stream.receive(RECEIVE)):
-                    connection.answered(answer)
-        except anyio.EndOfStream:
-            return "closed"
-        except anyio.BrokenResourceError:
-            return "reset"
-        except resp.Broken as fault:
-            log.warning("malformed", extra={"cache": connection.pool.cache, "what": str(fault)})
-            return "malformed"
-
-    async def write(self, connection: Connection, stream: ByteStream) -> None:
-        try:
-            while True:
-                while connection.queue:
-                    item = connection.queue.popleft()
-                    if isinstance(item, Leg):
-                        item.written = True
-                        item = item.command
-                    await stream.send(item)
-                connection.filled = anyio.Event()
-                await connection.filled.wait()
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-            connection.end("reset")
+        if connection.transport is None:
+            connection.reason = connection.reason or "stopped"
+            connection.ended()
+        else:
+            await connection.closed.wait()
