Held GETs: passed over only while their cache is as full and none has room; 560 lines again

Now a held GET is passed over only while its cache is still as full as it was and no cache has room to spill to.

--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -65,7 +65,7 @@
         self.trying, self.good, self.run = False, 0, 0
         self.share, self.share_at = 1.0, 0  # of its objects, what it takes; thinned while it fails in part
         self.buckets: deque[list[float]] = deque()  # start, count, failures; emptied as the window rolls
-        self.count, self.failures = 0.0, 0.0  # their sums
+        self.total = [0.0, 0.0, 0.0]  # their sums
 
     def allows(self, now: int) -> bool:
         if self.state == "Open" and now >= self.until:
@@ -90,15 +90,12 @@
         start = now - now % (self.WINDOW // self.BUCKETS)
         if not self.buckets or self.buckets[-1][0] != start:
             self.buckets.append([start, 0.0, 0.0])
-        bucket = self.buckets[-1]
-        bucket[1], bucket[2] = bucket[1] + 1, bucket[2] + weight
-        count, failures = self.count + 1, self.failures + weight
+        for sums in (self.buckets[-1], self.total):
+            sums[1], sums[2] = sums[1] + 1, sums[2] + weight
         while self.buckets[0][0] <= now - self.WINDOW:
-            _, old, gone = self.buckets.popleft()
-            count, failures = count - old, failures - gone
-        self.count, self.failures = count, failures
-        # one that still gives some is thinned: the next in order don't get its share cold and at once; the
-        # steps balance at a seventh of failures
+            self.total = [a - b for a, b in zip(self.total, self.buckets.popleft(), strict=True)]
+        _, count, failures = self.total
+        # one that still gives some is thinned, to spare the next in order; balances at a seventh of failures
         if not self.whole and failures < count:
             share = self.takes(now) * (0.75 if weight > 0.5 else 1.05)
             self.share, self.share_at = min(1.0, max(self.THIN, share)), now
@@ -111,8 +108,7 @@
 
     def open(self, now: int) -> str:
         self.state, self.until = "Open", now + int(self.cool_down * (1 + self.JITTER * self.chance.draw()))
-        self.buckets.clear()
-        self.count = self.failures = 0.0
+        self.buckets, self.total = deque(), [0.0, 0.0, 0.0]
         return "Open"
 
 
@@ -131,15 +127,12 @@
 
     def __init__(self, place: int, entry: i.Entry, role: str, chance: Chance) -> None:
         self.place, self.entry, self.role, self.name = place, entry, role, entry.cache
-        self.hash = digest(entry.cache)
-        self.breaker = Breaker(chance, role == "origin")
-        self.active = False
-        self.out = 0  # forwards out to it, or naming it as source
+        self.hash, self.breaker = digest(entry.cache), Breaker(chance, role == "origin")
+        self.active, self.out = False, 0  # forwards out to it, or naming it as source
         self.credit, self.credit_at = 0.0, -1  # sending time saved up for it while it is cold, and since when
         self.held, self.held_at = 0.0, -S  # GETs it holds for all gateways, as it told last, and when
         self.reset()
-        self.run = 0  # troubles since its last good sign (of a cache any answer, of a source a fill)
-        self.ok_at = -S  # last good fill
+        self.run, self.ok_at = 0, -S  # troubles since its last good sign (cache: any answer, source: a fill)
         self.spent: deque[list[float]] = deque()  # when, sending time asked of it; emptied as the span rolls
         self.first_byte = 0.0  # usual high percentile, 0: none seen
 
@@ -167,7 +160,7 @@
     ran: tuple[int, Node] | None = None  # first forward that may have run
     held: int = -1  # since when, -1: not held
     wants: Node | None = None  # held for room at it, None: at any
-    orders: dict[str, tuple[list[Node], list[Node]]] = field(default_factory=dict)  # by role: nodes, in order
+    orders: dict[tuple[Node, ...], list[Node]] = field(default_factory=dict)  # of caches, of parents
     lacked: int = 0  # 1: its cache has no copy, a fill helps; 2: nor has its parent, the origin helps
 
 
@@ -218,9 +211,7 @@
         self.told, self.chance = event.footprint, Chance(event.seed)
         self.services = [Service(service) for service in self.told.services]
         self.places: dict[str, Node] = {}  # every cache ever listed; as long as the site's list
-        self.nodes: list[Node] = []
-        self.caches: list[Node] = []
-        self.parents: list[Node] = []
+        self.nodes, self.caches, self.parents = list[Node](), tuple[Node, ...](), tuple[Node, ...]()
         self.origin: Node | None = None
         self.gets: dict[int, Get] = {}  # emptied by final answers
         self.outs: dict[tuple[int, int], Out] = {}  # emptied by the end of each forward
@@ -232,6 +223,7 @@
         self.stock = max(2.0, 20 / self.told.location_gateways)  # each gateway's part of a small stock
         self.spare = self.stock / 2  # further forwards that may still go
         self.density = 0.0  # usual revenue for a unit of sending time
+        self.ample = 0.6 / max(2, self.told.location_gateways)  # room for what spills
         self.brim = 0.65 if self.told.joins else 0.8  # unjoined, each GET that spills costs a fill of its own
         self.sized = self.told.weights in ("nominal", "rough")
         if self.told.ask_for_list:
@@ -255,8 +247,8 @@
             if entry.since and entry.since != node.entry.since:
                 node.reset()  # a new process: what was seen of the old one says nothing
             node.entry, node.active = entry, entry.state == "active"
-        self.caches = [n for n in self.nodes if n.role == "cache" and n.active]
-        self.parents = [n for n in self.nodes if n.role == "parent" and n.active]
+        self.caches = tuple(n for n in self.nodes if n.role == "cache" and n.active)
+        self.parents = tuple(n for n in self.nodes if n.role == "parent" and n.active)
         self.origin = next((n for n in self.nodes if n.role == "origin" and n.active), None)
         self.redispatch()
 
@@ -290,16 +282,17 @@
             heappush(self.due, (min(self.now + get.service.hold, get.end), get.id, LINE))
         self.line.append((get.legs > 0, -get.density, get.held, get.id))
 
-    def redispatch(self, freed: list[Node] | None = None) -> None:
-        """Held GETs look for room again, in order: a forward ended there, or (None) anything changed."""
+    def redispatch(self) -> None:
+        """Held GETs look for room again, in order; in a long line, only those there may be room for."""
         waiting, self.line = sorted(self.line), []
+        full = {node: self.full(node) for node in self.caches} if waiting else {}
+        spill = any(share < self.ample for share in full.values())
         for entry in waiting:
             get = self.gets.get(entry[3])
-            if get is not None and get.held >= 0:
-                if freed is None or get.wants is None or get.wants in freed:
-                    self.dispatch(get)
-                else:
-                    self.line.append(entry)
+            if get and get.held >= 0 and get.wants and not spill and full.get(get.wants, 0) >= self.part(get):
+                self.line.append(entry)
+            elif get and get.held >= 0:
+                self.dispatch(get)
 
     def forward(self, get: Get, cache: Node) -> None:
         now, told = self.now, get.service.told
@@ -345,41 +338,35 @@
         """When a forward is looked at: past the usual, or twice that where its size is not told."""
         return int((1.0 if get.size else 2.0) * (get.size + get.service.usual))
 
-    def order(self, nodes: list[Node], get: Get) -> list[Node]:
+    def order(self, nodes: tuple[Node, ...], get: Get) -> list[Node]:
         """Rendezvous order; caches by their told size, where one is told that stays."""
-        role = nodes[0].role if nodes else ""
-        kept = get.orders.get(role)
-        if kept is None or kept[0] is not nodes:  # the list has changed since
-            weigh = self.sized and role == "cache"
-            rank = lambda n: -math.log(mix(get.hash, n.hash)) / (n.entry.units if weigh else 1)  # noqa: E731
-            kept = get.orders[role] = nodes, sorted(nodes, key=rank)
-        return kept[1]
+        if nodes not in get.orders:
+            sized = self.sized and nodes is self.caches
+            ranks = {n: -math.log(mix(get.hash, n.hash)) / (n.entry.units if sized else 1) for n in nodes}
+            get.orders[nodes] = sorted(nodes, key=ranks.__getitem__)
+        return get.orders[nodes]
 
     def pick_cache(self, get: Get) -> Node | None:
         """The object's home; a crowded one (by a hot object, say) spills in hash order to ample room."""
         fit = [n for n in self.order(self.caches, get) if self.usable(n, get) and self.keeps_scope(get, n)]
         if not fit and self.told.direct:
             fit = [n for n in self.sources(get) if self.keeps_scope(get, n)]
-        if fit and self.full(fit[0]) >= self.brim:
-            return next((n for n in fit if self.full(n) < 0.6 / max(2, self.told.location_gateways)), fit[0])
-        return fit[0] if fit else None
+        spills = fit and self.full(fit[0]) >= self.brim
+        return next((n for n in fit if not spills or self.full(n) < self.ample), fit[0] if fit else None)
 
     def sources(self, get: Get) -> list[Node]:
         """Closed parents in hash order over all listed, then the origin, as far as cold budgets allow."""
         return [n for n in (*self.order(self.parents, get), self.origin) if n and self.usable(n, get)]
 
     def pick_source(self, get: Get, cache: Node) -> Node:
-        if cache.role != "cache":
-            return self.origin or cache
-        return next(iter(self.sources(get)), cache)
+        sources = self.sources(get) if cache.role == "cache" else [self.origin or cache]
+        return next(iter(sources), cache)
 
     def usable(self, node: Node, get: Get) -> bool:
-        if node.place in get.avoid:
-            return False
-        if node.breaker.state == "Closed" and node.breaker.share >= 1 and not node.entry.since:
-            return True  # most are well; what follows says the same of them, for ten times the work
-        if not self.allows(node):
+        if node.place in get.avoid or (node.breaker.state != "Closed" and not self.allows(node)):
             return False
+        if node.breaker.share >= 1 and not node.entry.since:
+            return True  # what follows says the same, for more work
         part = min(self.warmth(node), node.breaker.takes(self.now))  # the same objects at every gateway
         return (part >= 1 or mix(get.hash ^ 0x5DEECE66D, node.hash) < part) and self.cold_room(node, get)
 
@@ -405,27 +392,25 @@
         origin = self.origin if get.lacked == 2 else None
         if origin and (not self.allows(origin) or origin.out >= origin.limit):
             return False
-        # what earns less for its sending time leaves the room above the brim to what earns more
-        part = 1.0 if get.density > self.density else self.brim
-        return self.full(cache) < part and (source is cache or source.out < source.limit)
+        return self.full(cache) < self.part(get) and (source is cache or source.out < source.limit)
+
+    def part(self, get: Get) -> float:
+        return 1.0 if get.density > self.density else self.brim  # what earns less leaves room for the rest
 
     def may_forward(self, get: Get) -> bool:
         """Effect kinds: what may have run goes again only as its kind allows."""
         told = get.service.told
-        if self.now >= get.end or get.legs >= self.told.max_forwards:
-            return False
-        if get.out and not self.told.second_copies:
+        spent = self.now >= get.end or get.legs >= self.told.max_forwards
+        if spent or (get.out and not self.told.second_copies):
             return False
         if get.ran is None or told.effect == "idempotent":
             return True
         return told.effect == "tokened" and self.now + self.told.tick < get.ran[0] + told.remembered
 
     def keeps_scope(self, get: Get, node: Node) -> bool:
-        scope = get.service.told.scope
-        if get.ran is None or scope == "all":
-            return True
-        ran = get.ran[1].entry
-        return node.entry.location == ran.location and (scope == "zone" or node.entry.cell == ran.cell)
+        scope, entry = get.service.told.scope, node.entry
+        ran = get.ran[1].entry if get.ran and scope != "all" else entry
+        return entry.location == ran.location and (scope != "cell" or entry.cell == ran.cell)
 
     def may_shed(self, get: Get) -> bool:
         effect, scope = get.service.told.effect, get.service.told.scope
@@ -434,15 +419,13 @@
     def warmth(self, node: Node) -> float:
         """Share of its capacity that a cache or parent is sure to have; 1: warm."""
         told, age = self.told, max(0, self.now - node.entry.since)
-        share, lasts = told.cold_share, told.cold_for
-        if node.role == "parent":
-            share, lasts = told.parent_cold_share, told.parent_cold_for
+        caches, parents = (told.cold_share, told.cold_for), (told.parent_cold_share, told.parent_cold_for)
+        share, lasts = parents if node.role == "parent" else caches
         warm = node.role == "origin" or not node.entry.since or age >= lasts
         return 1.0 if warm else share + (1 - share) * age / lasts
 
     def cold_room(self, node: Node, get: Get) -> bool:
-        """Cold budget. A cold cache or parent gets the objects of its warm share, the same at every gateway,
-        and no more than this gateway's part of what it bears, saved up where that is less than one GET."""
+        """Cold budget: this gateway's part of what a cold one bears, saved up where that is under one GET."""
         warmth, told = self.warmth(node), self.told
         if warmth >= 1:
             return True
@@ -501,8 +484,7 @@
         return source if any(n and n is not source and n.breaker.state == "Closed" for n in sources) else None
 
     def note(self, node: Node, weight: float, trial: bool) -> None:
-        change = node.breaker.note(self.now, weight, trial)
-        if change:
+        if change := node.breaker.note(self.now, weight, trial):
             self.actions.append(i.Trace(f"{node.role} {node.name} {change}"))
 
     def ended(self, event: i.ForwardEnded) -> None:
@@ -556,7 +538,7 @@
                     self.hold(get, None)  # behind first forwards that wait
                 elif not get.out:
                     self.give_up(get)
-        self.redispatch(out.parts)
+        self.redispatch()
 
     def source_ended(self, out: Out, event: i.ForwardEnded, blamed: Node | None, filled: bool) -> None:
         """A source is judged by fills, not by hits."""
