A held GET remembers who has no room for it, and is passed over until that has

Cause: an Open cache has nothing out, so it counted as room to spill to, and GETs that wait for a slow origin were asked for again at each end of a forward.

--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -15,8 +15,7 @@
 
 from damsonstream.routing import interface as i
 
-MASK = (1 << 64) - 1
-MS, S = 10, 10_000
+MASK, MS, S = (1 << 64) - 1, 10, 10_000
 END, LINE, ASK = -1, -2, -3  # what is due besides a look at a leg
 
 
@@ -258,11 +257,10 @@
         service.mean += 0.02 * (size - service.mean) if size else 0.0
         density = service.told.revenue / (size or service.mean)
         self.density += 0.02 * (density - self.density)
-        # a final answer in time: one tick before the client leaves, so that it is never late
         end, known = self.now + event.left - self.told.tick, (digest(event.thing), event.thing, event.group)
         get = self.gets[event.get] = Get(event.get, service, *known, size, end, density, self.chance.draw())
         self.spare = min(self.stock, self.spare + 0.2)  # a fifth of the GETs, and the stock
-        heappush(self.due, (get.end, get.id, END))
+        heappush(self.due, (get.end, get.id, END))  # one tick before the client leaves, never late
         self.dispatch(get)
 
     def dispatch(self, get: Get) -> None:
@@ -270,10 +268,10 @@
         cache = self.pick_cache(get) if self.may_forward(get) else None
         if cache is None:
             self.give_up(get)
-        elif self.room(get, cache):
-            self.forward(get, cache)
+        elif blocked := self.blocked(get, cache):
+            self.hold(get, blocked)
         else:
-            self.hold(get, None if get.lacked else cache)
+            self.forward(get, cache)
 
     def hold(self, get: Get, wants: Node | None) -> None:
         get.wants = wants
@@ -282,17 +280,18 @@
             heappush(self.due, (min(self.now + get.service.hold, get.end), get.id, LINE))
         self.line.append((get.legs > 0, -get.density, get.held, get.id))
 
-    def redispatch(self) -> None:
-        """Held GETs look for room again, in order; in a long line, only those there may be room for."""
+    def redispatch(self, sweep: bool = False) -> None:
+        """Held GETs look for room again, in order; between sweeps, only those there may be room for."""
         waiting, self.line = sorted(self.line), []
-        full = {node: self.full(node) for node in self.caches} if waiting else {}
-        spill = any(share < self.ample for share in full.values())
+        well = [n for n in self.caches if n.breaker.state == "Closed" and n.breaker.share >= 1]
+        spill = bool(waiting) and any(self.full(n) < self.ample for n in well)
         for entry in waiting:
-            get = self.gets.get(entry[3])
-            if get and get.held >= 0 and get.wants and not spill and full.get(get.wants, 0) >= self.part(get):
-                self.line.append(entry)
-            elif get and get.held >= 0:
-                self.dispatch(get)
+            if (get := self.gets.get(entry[3])) and get.held >= 0:
+                node = get.wants
+                if sweep or node is None or (spill and node.role == "cache") or not self.shut(node, get):
+                    self.dispatch(get)
+                else:
+                    self.line.append(entry)
 
     def forward(self, get: Get, cache: Node) -> None:
         now, told = self.now, get.service.told
@@ -387,15 +386,16 @@
         fresh = min(1.0, 1.5 - (self.now - node.held_at) / S)
         return max(node.out, node.held * fresh) / max(6.0, limit)
 
-    def room(self, get: Get, cache: Node) -> bool:
-        source = self.pick_source(get, cache) if get.lacked else cache
-        origin = self.origin if get.lacked == 2 else None
-        if origin and (not self.allows(origin) or origin.out >= origin.limit):
-            return False
-        return self.full(cache) < self.part(get) and (source is cache or source.out < source.limit)
+    def shut(self, node: Node, get: Get) -> bool:
+        if node.role == "cache":  # what earns less for its sending time leaves the room above the brim
+            return self.full(node) >= (1.0 if get.density > self.density else self.brim)
+        return node.out >= node.limit or not self.allows(node)
 
-    def part(self, get: Get) -> float:
-        return 1.0 if get.density > self.density else self.brim  # what earns less leaves room for the rest
+    def blocked(self, get: Get, cache: Node) -> Node | None:
+        """Who has no room for it: its cache, or once a fill is known to be needed, who gives it."""
+        source = self.pick_source(get, cache) if get.lacked else cache
+        parts = (cache, source, self.origin if get.lacked == 2 else None)
+        return next((n for n in parts if n and self.shut(n, get)), None)
 
     def may_forward(self, get: Get) -> bool:
         """Effect kinds: what may have run goes again only as its kind allows."""
@@ -594,7 +594,7 @@
         cache = self.pick_cache(get) if further and self.may_forward(get) else None
         if cache is not None and self.told.cancel and "Open" in (n.breaker.state for n in out.parts):
             self.actions.append(i.Recall(get.id, out.leg))  # hung fills must not fill up a live cache
-        elif cache is not None and self.room(get, cache):
+        elif cache is not None and not self.blocked(get, cache):
             self.spare -= 1
             self.forward(get, cache)
 
@@ -627,7 +627,7 @@
         if self.now - self.swept >= S // 10:
             self.swept, settled = self.now, self.now - self.told.purge_settles
             self.purges = {key: when for key, when in self.purges.items() if when > settled}
-            self.redispatch()
+            self.redispatch(sweep=True)
         if self.due:
             when = min(self.due[0][0], self.now + S // 10) if self.line else self.due[0][0]
             if self.armed <= self.now or when < self.armed:
