--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+import gc
 import logging
 import resource
 import signal
 import time
 
 import anyio
-from anyio.abc import TaskGroup
 
 from damsonstream.program.config import Config
 from damsonstream.program.counters import Counters
@@ -29,6 +29,11 @@
 )
 CLIENT_BYTES = 4  # answers that wait for slow clients take one part in so many of the memory
 MB = 1 << 20
+GARBAGE = (
+    20_000,
+    10,
+    50,
+)  # new objects between collections: GETs leave few cycles, so that most find nothing
 LINGER = 0.7  # seconds for which GETs still come after SIGTERM, the protocol's
 
 HEALTH, PREFIX = b"/healthz", b"/v1/"
@@ -47,7 +52,7 @@
         )
         self.front = Front(max(1, clients), memory // CLIENT_BYTES, self.open_get, count)
         self.services = {service.name.encode(): n for n, service in enumerate(config.footprint.services)}
-        self.lives: TaskGroup | None = None  # the tasks of the GETs
+        self.lives = life.Lives(self.gateway, self.caches.send)
         for event in config.known:
             self.told(event)
 
@@ -89,8 +94,7 @@
         same = resp.fields(name, thing, part, token, holds if usable(holds) else b"")
         repeated = fields.get(b"HTTP_X_SECOND_TRY", b"") == b"1"
         get = life.Get(ident, service, thing.decode(), group, left, repeated, same, taken.body)
-        assert self.lives is not None
-        self.lives.start_soon(life.live, self.gateway, self.caches.send, get, final)
+        self.lives.begin(get, final)
         return get
 
     def words(self, id: int, final: life.Final) -> bytes:
@@ -129,12 +133,15 @@
         host, port = self.config.listen
         config = self.config
         async with anyio.create_task_group() as group:
-            self.lives = group
+            self.lives.group = group
             group.start_soon(self.signals, group.cancel_scope)
             self.gateway.keep_time()
             group.start_soon(self.caches.run)
             group.start_soon(feed.follow, config.feed, config.last, config.locations,
                              config.footprint.models, self.told, self.counters.add)  # fmt: skip
+            gc.collect()
+            gc.freeze()  # what was read at the start stays
+            gc.set_threshold(*GARBAGE)
             server = await self.front.listen(host, port)
             log.info("ready", extra={"name_": config.name, "listen": f"{host}:{port}", "known": config.last})
         server.close()
--- a/damsonstream/protocol/fastcgi.py
+++ b/damsonstream/protocol/fastcgi.py
@@ -63,26 +63,32 @@
     fields: dict[bytes, bytes] | None = None
 
 
-def pairs(data: bytes | bytearray) -> dict[bytes, bytes]:
+def pairs(data: bytes) -> dict[bytes, bytes]:
     """Name-value pairs, each length in one byte or in four."""
     found: dict[bytes, bytes] = {}
     at, end = 0, len(data)
-    while at < end:
-        sizes = [0, 0]
-        for which in (0, 1):
-            step = 4 if at < end and data[at] & 0x80 else 1
-            if at + step > end:
-                raise Broken("bad-params")
-            sizes[which] = int.from_bytes(data[at : at + step], "big") & 0x7FFFFFFF
-            at += step
-        value, after = at + sizes[0], at + sizes[0] + sizes[1]
-        if after > end:
-            raise Broken("bad-params")
-        found[bytes(data[at:value])] = bytes(data[value:after])
-        at = after
+    try:
+        while at < end:
+            name, value, at = data[at], data[at + 1], at + 2
+            if name & 0x80 or value & 0x80:  # one of them has four bytes
+                at -= 2
+                name, at = length(data, at)
+                value, at = length(data, at)
+            middle, after = at + name, at + name + value
+            found[data[at:middle]] = data[middle:after]
+            at = after
+    except IndexError:
+        at = end + 1
+    if at != end:
+        raise Broken("bad-params")
     return found
 
 
+def length(data: bytes, at: int) -> tuple[int, int]:
+    step = 4 if data[at] & 0x80 else 1
+    return int.from_bytes(data[at : at + step], "big") & 0x7FFFFFFF, at + step
+
+
 def pair(name: bytes, value: bytes) -> bytes:
     sizes = (len(part).to_bytes(1, "big") if len(part) < 128 else (len(part) | 1 << 31).to_bytes(4, "big")
              for part in (name, value))  # fmt: skip
@@ -114,7 +120,7 @@
     """One connection's records. `done(id)` says that an id's answer has been given and it is free again."""
 
     def __init__(self) -> None:
-        self.buffer = bytearray()  # less than one record, emptied as records are whole
+        self.rest = b""  # less than one record, emptied as records are whole
         self.opening: dict[int, Opening] = {}  # GETs still coming in; emptied as they are whole or aborted
         self.open: set[int] = set()  # GETs taken; emptied by done()
 
@@ -122,21 +128,23 @@
         self.open.discard(id)
 
     def feed(self, data: bytes) -> list[Message]:
-        self.buffer += data
+        if self.rest:
+            data = self.rest + data
         found: list[Message] = []
-        at, end = 0, len(self.buffer)
+        at, end = 0, len(data)
         while end - at >= 8:
-            version, kind, id, length, padding = HEADER.unpack_from(self.buffer, at)
+            version, kind, id, size, padding = HEADER.unpack_from(data, at)
             if version != 1:
                 raise Broken("bad-record")
-            if end - at < 8 + length + padding:
+            after = at + 8 + size + padding
+            if after > end:
                 break
-            content = bytes(memoryview(self.buffer)[at + 8 : at + 8 + length])
-            at += 8 + length + padding
+            content = data[at + 8 : at + 8 + size]
+            at = after
             message = self.manage(kind, content) if id == 0 else self.take(kind, id, content)
             if message is not None:
                 found.append(message)
-        del self.buffer[:at]
+        self.rest = data[at:]
         return found
 
     def manage(self, kind: int, content: bytes) -> Message:
@@ -163,7 +171,7 @@
             if len(opening.params) > MOST_PARAMS:
                 raise Broken("oversize")
             if not content:
-                opening.fields, opening.params = pairs(opening.params), bytearray()
+                opening.fields, opening.params = pairs(bytes(opening.params)), bytearray()
         elif kind == STDIN:
             opening.body += content
             if len(opening.body) > MOST_BODY:
--- a/damsonstream/routing/life.py
+++ b/damsonstream/routing/life.py
@@ -1,18 +1,20 @@
 """The life of one GET, top to bottom in one task, from being taken to its final answer.
 
-How it is called: `await live(gateway, send, get, answer)`; `answer` is called once, unless the client has
+How it is called: `Lives(gateway, send).begin(get, answer)`; `answer` is called once, unless the client has
 left (`get.left()` tells). The router is asked at each point of choice through `gateway.tell`; nothing is
 decided here.
 """
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
 import anyio
+from anyio.abc import TaskGroup
 
 from damsonstream.protocol import resp
 from damsonstream.routing import interface as i
@@ -85,8 +87,40 @@
     come_back_ms: int = 0
 
 
+Job = tuple[Get, Callable[[Final], None]]
+
+
+class Lives:
+    """The tasks of GETs. A task that has lived one GET waits for the next: to start one of anyio's for each
+    took a sixth of the core at 2,000 GETs a second."""
+
+    IDLE = 512  # tasks kept waiting: those of a busy second
+
+    def __init__(self, gateway: Gateway, send: Sender) -> None:
+        self.gateway, self.send = gateway, send
+        self.group: TaskGroup | None = None
+        self.idle: list[asyncio.Future[Job]] = []
+
+    def begin(self, get: Get, answer: Callable[[Final], None]) -> None:
+        assert self.group is not None
+        if self.idle:
+            self.idle.pop().set_result((get, answer))
+        else:
+            self.group.start_soon(self.work, (get, answer))
+
+    async def work(self, job: Job) -> None:
+        while True:
+            await live(self.gateway, self.send, *job)
+            if len(self.idle) >= self.IDLE:
+                return
+            waiter = asyncio.get_running_loop().create_future()
+            self.idle.append(waiter)
+            job = await waiter
+
+
 async def live(gateway: Gateway, send: Sender, get: Get, answer: Callable[[Final], None]) -> None:
     clock, inbox, outs, legs, over = gateway.clock, get.inbox, dict[int, Out](), 0, False
+    patient = False  # whether a forward has a time of its own
     end = clock.now() + get.left_ms * TENTHS
     number = gateway.open(inbox)  # type: ignore[arg-type]
 
@@ -111,14 +145,14 @@
             i.GetTaken(number, get.left_ms * TENTHS, get.service, get.thing, get.group, 0.0, get.repeated)
         )
         while not over or outs:
-            expiry = min((out.patience for out in outs.values() if out.patience), default=0)
-            if expiry:
+            if patient:
+                expiry = min((out.patience for out in outs.values() if out.patience), default=end)
                 with anyio.move_on_after((expiry - clock.now()) / (1000 * TENTHS)) as waiting:
                     step = await inbox.next()
                 if waiting.cancelled_caught:
-                    leg = next(leg for leg, out in outs.items() if out.patience == expiry)
-                    outs[leg].handle.stop()
-                    ended(leg, resp.Lost("expired"), over)
+                    for leg in [leg for leg, out in outs.items() if 0 < out.patience <= clock.now()]:
+                        outs[leg].handle.stop()
+                        ended(leg, resp.Lost("expired"), over)
                     continue
             else:
                 step = await inbox.next()
@@ -126,6 +160,7 @@
                 case i.Forward():
                     leg, now = legs, clock.now()
                     legs += 1
+                    patient |= step.patience > 0
                     wait = min(end, now + step.patience) if step.patience else end
                     command = resp.forward(
                         get.ident, get.same, get.body,
--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -42,24 +42,25 @@
     return ((x >> 11) + 0.5) / 2**53
 
 
+WINDOW, BUCKETS = 3 * S, 100  # 10 s in the design: earlier good fills weigh too long (docs/design.md)
+LEAST = 5  # 20 in the design: a gateway sees a few fills a second at each source
+SHARE = 0.5  # the design's
+COOL_DOWN, LONGEST = 5 * S, 5 * S  # the design's starts, also of the cap
+JITTER = 0.25  # up to so much on top, so that gateways do not try in step
+SPACING = S // 2  # between trials, the design's
+MAJORITY = 2  # of three trials, the design's
+THIN, DOUBLES = 0.25, 20 * S  # least share of a thinned one, and how soon it doubles; level to half of it
+
+
 class Breaker:
     """The design's three-state switch over a rolling window of weighted failures."""
 
-    WINDOW, BUCKETS = 3 * S, 100  # 10 s in the design: earlier good fills weigh too long (docs/design.md)
-    LEAST = 5  # 20 in the design: a gateway sees a few fills a second at each source
-    SHARE = 0.5  # the design's
-    COOL_DOWN, LONGEST = 5 * S, 5 * S  # the design's starts, also of the cap
-    JITTER = 0.25  # up to so much on top, so that gateways do not try in step
-    SPACING = S // 2  # between trials, the design's
-    MAJORITY = 2  # of three trials, the design's
-    THIN, DOUBLES = 0.25, 20 * S  # least share of a thinned one, and how soon it doubles; level to half of it
-
     def __init__(self, chance: Chance, whole: bool = False) -> None:
         self.chance, self.whole = chance, whole  # whole: opens as in the design, and is never thinned
         self.reset()
 
     def reset(self) -> None:
-        self.state, self.cool_down = "Closed", self.COOL_DOWN
+        self.state, self.cool_down = "Closed", COOL_DOWN
         self.until = 0  # of Open: end of the cool-down; of Half-Open: when the next trial may go
         self.trying, self.good, self.run = False, 0, 0
         self.share, self.share_at = 1.0, 0  # of its objects, what it takes; thinned while it fails in part
@@ -74,39 +75,39 @@
     def note(self, now: int, weight: float, trial: bool) -> str:
         """Enters a finished fill (weight 0: good); returns the new state where it changes."""
         if self.state == "Half-Open" and trial:
-            self.trying, self.until = False, now + self.SPACING
+            self.trying, self.until = False, now + SPACING
             if weight >= 1:
-                self.cool_down = min(2 * self.cool_down, self.LONGEST)
+                self.cool_down = min(2 * self.cool_down, LONGEST)
                 return self.open(now)
             self.good += 1
-            if self.good < self.MAJORITY:
+            if self.good < MAJORITY:
                 return ""
             self.reset()
             return "Closed"
         if self.state != "Closed":
             return ""
         self.run = self.run + 1 if weight >= 1 else 0
-        start = now - now % (self.WINDOW // self.BUCKETS)
+        start = now - now % (WINDOW // BUCKETS)
         if not self.buckets or self.buckets[-1][0] != start:
             self.buckets.append([start, 0.0, 0.0])
         for sums in (self.buckets[-1], self.total):
             sums[1], sums[2] = sums[1] + 1, sums[2] + weight
-        while self.buckets[0][0] <= now - self.WINDOW:
+        while self.buckets[0][0] <= now - WINDOW:
             self.total = [a - b for a, b in zip(self.total, self.buckets.popleft(), strict=True)]
         _, count, failures = self.total
         # one that still gives some is thinned, to spare the next in order; balances at a seventh of failures
         if not self.whole and failures < count:
             share = self.takes(now) * (0.75 if weight > 0.5 else 1.05)
-            self.share, self.share_at = min(1.0, max(self.THIN, share)), now
-        over = count >= self.LEAST and failures > self.SHARE * count
-        opens = self.run >= self.LEAST or (over and (self.whole or (weight >= 1 and self.share <= self.THIN)))
+            self.share, self.share_at = min(1.0, max(THIN, share)), now
+        over = count >= LEAST and failures > SHARE * count
+        opens = self.run >= LEAST or (over and (self.whole or (weight >= 1 and self.share <= THIN)))
         return self.open(now) if opens else ""
 
     def takes(self, now: int) -> float:
-        return min(1.0, self.share * 2 ** min(9.0, (now - self.share_at) / self.DOUBLES))
+        return min(1.0, self.share * 2 ** min(9.0, (now - self.share_at) / DOUBLES))
 
     def open(self, now: int) -> str:
-        self.state, self.until = "Open", now + int(self.cool_down * (1 + self.JITTER * self.chance.draw()))
+        self.state, self.until = "Open", now + int(self.cool_down * (1 + JITTER * self.chance.draw()))
         self.buckets, self.total = deque(), [0.0, 0.0, 0.0]
         return "Open"
 
@@ -178,10 +179,10 @@
     trials: list[Node]  # of those, the Half-Open ones
     judged: bool = False
 
+NEAR = 6 * MS  # a cache of the own location says no within it; what comes later was said behind it
 
-class Router:
-    NEAR = 6 * MS  # a cache of the own location says no within it; what comes later was said behind it
 
+class Router:
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
         self.now = now
         self.actions: list[i.Action] = []
@@ -466,11 +467,11 @@
             return cache
         if event and source is not cache and event.note in (6, 7):
             return self.waited(out) if event.took > S // 2 else source
-        if event and source is not cache and event.result == "shed" and event.took > self.NEAR:
+        if event and source is not cache and event.result == "shed" and event.took > NEAR:
             return out.parts[-1]  # the origin, where its parent was known to lack the object
         if source is not cache and cache.ok_at > out.sent:
             source.run += 1
-            return self.waited(out) if source.run >= Breaker.LEAST else None
+            return self.waited(out) if source.run >= LEAST else None
         cache.run += 1
         return cache if cache.run > 2 else None
 
@@ -515,7 +516,7 @@
             node.breaker.trying = False  # also where it proved nothing, as a hit does
         if good:
             self.learn(get, cache, event)
-        elif event.result == "shed" and event.took <= self.NEAR and event.note != 9:
+        elif event.result == "shed" and event.took <= NEAR and event.note != 9:
             cache.limit = max(8.0, min(cache.limit, max(cache.out, cache.held) + 1.0) * 0.95)
         if event.over:
             self.close(get)
@@ -530,7 +531,7 @@
                 else:
                     self.dispatch(get)
             else:
-                doubt = source if event.result == "shed" and event.took > self.NEAR else cache
+                doubt = source if event.result == "shed" and event.took > NEAR else cache
                 if event.result != "recalled":
                     get.avoid.add((blamed or doubt).place)
                 if not get.out and self.spare >= 1:
