--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -9,7 +9,7 @@
 from damsonstream.bench import codec
 from damsonstream.bench.__main__ import host
 from damsonstream.routing import interface as i
-from damsonstream.routing.router import Breaker, Chance
+from damsonstream.routing.router import LEAST, Breaker, Chance
 from tests.helpers import FOOTPRINT, ORDER, PAGES, TILES, Desk, S, TraceCase, entry
 
 
@@ -46,8 +46,8 @@
     def test_a_few_failures_do_not_open(self) -> None:
         breaker = Breaker(Chance(3))
         self.assertEqual(
-            [breaker.note(place, 1.0, False) for place in range(Breaker.LEAST - 1)],
-            [""] * (Breaker.LEAST - 1),
+            [breaker.note(place, 1.0, False) for place in range(LEAST - 1)],
+            [""] * (LEAST - 1),
         )
         self.assertEqual(breaker.state, "Closed")
 
