--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -184,8 +184,7 @@
 
 class Router:
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
-        self.now = now
-        self.actions: list[i.Action] = []
+        self.now, self.actions = now, list[i.Action]()
         match event:
             case i.Started():
                 self.start(event)
@@ -219,10 +218,9 @@
         self.armed, self.swept, self.asks = -1, 0, 0
         self.line: list[tuple[bool, float, int, int]] = []  # further, -density, since, GET
         self.purges: dict[str | int, int] = {}  # object or group: when; emptied when copies have settled
-        self.link = 1.0  # how full the link into the location is, 1: just full
+        self.link, self.density = 1.0, 0.0  # link in, 1: just full; usual revenue for a unit of sending time
         self.stock = max(2.0, 20 / self.told.location_gateways)  # each gateway's part of a small stock
         self.spare = self.stock / 2  # further forwards that may still go
-        self.density = 0.0  # usual revenue for a unit of sending time
         self.ample = 0.6 / max(2, self.told.location_gateways)  # room for what spills
         self.brim = 0.65 if self.told.joins else 0.8  # unjoined, each GET that spills costs a fill of its own
         self.sized = self.told.weights in ("nominal", "rough")
@@ -247,6 +245,8 @@
             if entry.since and entry.since != node.entry.since:
                 node.reset()  # a new process: what was seen of the old one says nothing
             node.entry, node.active = entry, entry.state == "active"
+            if node.role == "parent" and self.sized:  # 64 hold GETs back where one bears a thousand transfers
+                node.limit = max(64.0, 2.2 * entry.units / self.told.gateways)
         self.caches = tuple(n for n in self.nodes if n.role == "cache" and n.active)
         self.parents = tuple(n for n in self.nodes if n.role == "parent" and n.active)
         self.origin = next((n for n in self.nodes if n.role == "origin" and n.active), None)
@@ -565,9 +565,9 @@
         elif event.result == "recalled" and slow and out.cache.ok_at > out.sent:
             self.note(source, slow, False)
         if (origin := self.origin) and (origin is blamed or origin is judged):
-            # a dead one is the breaker's matter; the limit answers one that works, but late
+            # a dead one is the breaker's matter; the limit answers one that works, but over a tenth late
             if filled and not late and (origin.out + 1 >= 0.8 * origin.limit or event.note == 3):
-                origin.limit = min(64.0, origin.limit + 2 / origin.limit)
+                origin.limit = min(64.0, origin.limit + max(2 / origin.limit, origin.limit / 200))
             elif (late and filled) or event.result in ("shed", "expired"):
                 origin.limit = max(4.0, origin.limit * 0.95)
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -209,6 +209,40 @@
                 desk.end(get, "shed", took=300)
         self.assertLess(sum(desk.legs.values()), 15)
 
+    def test_limits_of_sources_grow_with_them(self) -> None:
+        """A large parent takes more than 64 fills; an origin with one late fill in twenty keeps its limit."""
+        lines = list[str]()
+        for units in (10, 400):
+            desk = Desk("c1 c2")
+            desk.tell(i.ListTold("changes", (entry("p1", units=units), entry("c3", units=400))))
+            for get in range(100):
+                desk.take(get)
+            fills = sum(forward.source == "p1" for forward in desk.sent.values())
+            lines.append(f"parent of {units} units: {fills} fills out")
+        desk = Desk("c1 p1 o", notes="all")
+        for get in range(600):
+            desk.take(get)
+            desk.end(get, "returned", note=3, took=500 + 30 * S * (get % 20 == 0))
+            desk.now += 100
+        assert desk.router.origin is not None
+        lines.append(f"origin, one in twenty late: limit over 40: {desk.router.origin.limit > 40}")
+        self.check("limits", lines)
+
+    def test_held_gets_wait_for_who_lacks_room(self) -> None:
+        """A long line costs nothing while its source is full, and moves on as soon as that has room."""
+        desk = Desk("p1 o", notes="all")
+        desk.tell(i.ListTold("changes", (entry("c1", units=400),)))
+        for get in range(68):
+            desk.take(get)
+            if get >= 64:  # the parent has 64 out: looked for, lacked, held
+                desk.end(get, "lacking")
+        held = [desk.router.gets[get].wants for get in range(64, 68)]
+        desk.lines.clear()
+        desk.say(f"wait for {sorted({node.name for node in held if node})}")
+        desk.end(0, "returned", note=2)
+        desk.end(1, "returned", note=1)
+        self.check("waits", desk.lines)
+
     def test_most_parents_in_trouble_are_asked_for_copies(self) -> None:
         """Parents that all shed what they lack are alive: the origin opens, they go on giving copies."""
         desk, returned = Desk("c1 c2 p1 p2 p3 o"), 0
