--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -564,12 +564,12 @@
             self.note(blamed, 1.0, blamed in out.trials)
         elif event.result == "recalled" and slow and out.cache.ok_at > out.sent:
             self.note(source, slow, False)
-        if (origin := self.origin) and (origin is blamed or origin is judged):
+        if (org := self.origin) and (org is blamed or org is judged):
             # a dead one is the breaker's matter; the limit answers one that works, but over a tenth late
-            if filled and not late and (origin.out + 1 >= 0.8 * origin.limit or event.note == 3):
-                origin.limit = min(64.0, origin.limit + max(2 / origin.limit, origin.limit / 200))
+            if filled and not late and (org.out + 1 >= 0.8 * org.limit or event.note == 3):
+                org.limit = min(64.0, org.limit + max(2 / org.limit, org.limit / 50 / self.told.gateways))
             elif (late and filled) or event.result in ("shed", "expired"):
-                origin.limit = max(4.0, origin.limit * 0.95)
+                org.limit = max(4.0, org.limit * 0.95)
 
     def learn(self, get: Get, cache: Node, event: i.ForwardEnded) -> None:
         service, beyond = get.service, event.took - get.size  # its steps balance at the 95th percentile
