--- a/damsonstream/program/cli.py
+++ b/damsonstream/program/cli.py
@@ -47,5 +47,9 @@
     from damsonstream.program.serve import Server
 
     logs.begin(level)
-    anyio.run(Server(told).run, backend_options={"use_uvloop": True})
+    try:
+        anyio.run(Server(told).run, backend_options={"use_uvloop": True})
+    except config.Unusable as fault:
+        print(fault, file=sys.stderr)
+        return 2
     return 0
--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from damsonstream.program.config import Config
+from damsonstream.program.config import Config, Unusable
 from damsonstream.program.counters import Counters
 from damsonstream.protocol import bulletin, fastcgi, resp
 from damsonstream.routing import life
@@ -130,8 +130,11 @@
                 return
 
     async def run(self) -> None:
-        host, port = self.config.listen
-        config = self.config
+        config, (host, port) = self.config, self.config.listen
+        try:
+            server = await self.front.listen(host, port)
+        except OSError as fault:
+            raise Unusable(f"The field listen, {host}:{port}, can't be listened on: {fault}.") from fault
         async with anyio.create_task_group() as group:
             self.lives.group = group
             group.start_soon(self.signals, group.cancel_scope)
@@ -142,7 +145,6 @@
             gc.collect()
             gc.freeze()  # what was read at the start stays
             gc.set_threshold(*GARBAGE)
-            server = await self.front.listen(host, port)
             log.info("ready", extra={"name_": config.name, "listen": f"{host}:{port}", "known": config.last})
         server.close()
         self.report()
--- a/damsonstream/transport/caches.py
+++ b/damsonstream/transport/caches.py
@@ -189,6 +189,9 @@
             connection.reason = connection.reason or "connect-timeout"
         except OSError:
             connection.reason = connection.reason or "refused"
+        except Exception:
+            log.exception("connect", extra={"peer": connection.pool.address})
+            connection.reason = connection.reason or "fault"
         if connection.transport is None:
             connection.reason = connection.reason or "stopped"
             connection.ended()
--- a/damsonstream/transport/feed.py
+++ b/damsonstream/transport/feed.py
@@ -57,6 +57,9 @@
         except bulletin.Broken as fault:
             reason = "malformed"
             log.warning("malformed", extra={"side": "bulletin", "what": str(fault)})
+        except Exception:
+            reason = "fault"
+            log.exception("bulletin")
         count(f"bulletin.{reason}")
         log.info(
             "closed",
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,13 +1,21 @@
-"""A small footprint, and a driver that prints what the router decides."""
+"""A small footprint, a driver that prints what the router decides, and stand-ins for caches and bulletin."""
 
 from __future__ import annotations
 
 import difflib
+import re
 import unittest
+from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
+from struct import pack
 from typing import Any
 
+import anyio
+from anyio.abc import SocketStream
+
+from damsonstream.protocol import fastcgi
 from damsonstream.routing import interface as i
 from damsonstream.routing.router import Router
 
@@ -100,3 +108,64 @@
         if difference:
             kept.with_suffix(".now").write_text("\n".join(lines) + "\n")
         self.assertFalse(difference, f"{name}: decisions changed\n{difference}")
+
+
+def get_records(id: int, fields: dict[str, str], body: bytes = b"") -> bytes:
+    """A GET as a web server sends it."""
+    pairs = b"".join(fastcgi.pair(name.encode(), value.encode()) for name, value in fields.items())
+    parts = (fastcgi.BEGIN, pack(">HB5x", 1, 1)), (fastcgi.PARAMS, pairs), (fastcgi.PARAMS, b"")
+    stdin = ((fastcgi.STDIN, body), (fastcgi.STDIN, b"")) if body else ((fastcgi.STDIN, b""),)
+    return b"".join(fastcgi.record(kind, id, content) for kind, content in (*parts, *stdin))
+
+
+def list_frame(number: int, kind: int, *lines: tuple[int, str, int, int]) -> bytes:
+    """A frame of the bulletin; a line is id, address, state and place of its model."""
+    payload = b""
+    for id, address, state, model in lines:
+        host, _, port = address.rpartition(":")
+        where = bytes(map(int, host.split(".")))
+        payload += pack(">I4sHBBBHIQ", id, where, int(port), state, 0, model, 0, 10_000, 0)
+    return pack(">IQB", 9 + len(payload), number, kind) + payload
+
+
+class StandIn:
+    """A cache or a bulletin of our own, from the protocol's page: writes down what came."""
+
+    def __init__(self) -> None:
+        self.came: list[list[bytes]] = []  # commands of caches, whole
+        self.hellos: list[int] = []
+        self.frames: list[bytes] = []
+        self.streams: list[SocketStream] = []
+        self.changed = anyio.Event()
+
+    async def cache(self, stream: SocketStream) -> None:
+        self.streams.append(stream)
+        data = b""
+        with suppress(anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            while True:
+                data += await stream.receive()
+                while command := re.match(rb"\*(\d+)\r\n", data):
+                    parts, at, sized = list[bytes](), command.end(), re.compile(rb"\$(\d+)\r\n")
+                    while len(parts) < int(command[1]) and (size := sized.match(data, at)):
+                        at = size.end() + int(size[1])
+                        parts.append(data[size.end() : at])
+                        at += 2
+                    if len(parts) < int(command[1]) or at > len(data):
+                        break
+                    data = data[at:]
+                    self.came.append(parts)
+                    self.changed.set()
+
+    async def bulletin(self, stream: SocketStream) -> None:
+        self.streams.append(stream)
+        with suppress(anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            self.hellos.append(int.from_bytes(await stream.receive(8), "big"))
+            for frame in self.frames:
+                await stream.send(frame)
+            self.changed.set()
+            await stream.receive()
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        while not holds():
+            self.changed = anyio.Event()
+            await self.changed.wait()
