Tests of single GETs' lives, of one gateway on loopback between stand-ins, of shutdown and of bad configurations

A trace each: returned, forwarded again, recalled when the time is up, aborted, errored where it may have run, purged while out, a fault in the router; on loopback objects of 240,000 bytes, STOP, a reset, a broken record, the bulletin resumed after the last event, SIGTERM. Each ends with tables, timers and pools empty.

--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -53,6 +53,7 @@
         self.front = Front(max(1, clients), memory // CLIENT_BYTES, self.open_get, count)
         self.services = {service.name.encode(): n for n, service in enumerate(config.footprint.services)}
         self.lives = life.Lives(self.gateway, self.caches.send)
+        self.ready = anyio.Event()  # the listener is up, the list is known
         for event in config.known:
             self.told(event)
 
@@ -145,6 +146,7 @@
             gc.collect()
             gc.freeze()  # what was read at the start stays
             gc.set_threshold(*GARBAGE)
+            self.ready.set()
             log.info("ready", extra={"name_": config.name, "listen": f"{host}:{port}", "known": config.last})
         server.close()
         self.report()
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,360 @@
+"""The life of single GETs as short traces, and one gateway on loopback between stand-ins."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+import re
+import signal
+import socket
+import tempfile
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+
+from damsonstream.program import cli, config, logs
+from damsonstream.program.serve import Server
+from damsonstream.protocol import bulletin, fastcgi, resp
+from damsonstream.routing import interface as i
+from damsonstream.routing import life
+from damsonstream.routing.gateway import Clock, Gateway
+from tests.helpers import FOOTPRINT, S, StandIn, TraceCase, entry, get_records, list_frame
+
+Told = Callable[[life.Ending], None]
+
+
+class SetClock(Clock):
+    def __init__(self) -> None:
+        self.time = 1000 * S
+
+    def now(self) -> int:
+        return self.time
+
+    def age(self, unix_ms: int) -> int:
+        return self.time - unix_ms * 10
+
+
+@dataclass
+class FakeLeg:
+    desk: Lifelines
+    name: str
+
+    def stop(self) -> None:
+        self.desk.lines.append(f"  stop {self.name}")
+
+
+class Lifelines:
+    """One gateway without sockets: writes down what is sent, stopped and answered."""
+
+    def __init__(self) -> None:
+        self.clock, self.lines = SetClock(), list[str]()
+        self.gateway = Gateway(7, FOOTPRINT, self.clock)
+        self.gateway.tell(i.ListTold("full", tuple(entry(name) for name in ["c1", "c2", "p1", "p2", "o"])))
+        self.lives = life.Lives(self.gateway, self.send)
+        self.ends: list[Told] = []
+
+    def send(self, cache: str, ident: bytes, command: bytes, at_end: Told) -> FakeLeg:
+        self.ends.append(at_end)
+        name = f"{ident.decode()} to {cache}"
+        self.lines.append(f"  {name}: {command.split(b'$')[3].split()[1].decode()}")
+        return FakeLeg(self, name)
+
+    def get(self, ident: str, service: int = 0) -> life.Get:
+        same = resp.fields(b"tiles", b"7f", b"0", b"", b"")
+        get = life.Get(ident.encode(), service, "7f", 1, 2000, False, same, b"")
+        self.lines.append(f"GET {ident} {FOOTPRINT.services[service].name}")
+        self.lives.begin(get, lambda final: self.lines.append(f"  {ident} {self.told(final)}"))
+        return get
+
+    def told(self, final: life.Final) -> str:
+        return f"{final.outcome} {final.body!r} same={final.same} come back after {final.come_back_ms} ms"
+
+    async def settle(self) -> None:
+        for _ in range(8):
+            await anyio.sleep(0)
+
+    async def end(self, which: int, ending: life.Ending) -> None:
+        self.clock.time += 300
+        what = ending if isinstance(ending, resp.Lost) else f"{ending.result} note {ending.note}"
+        self.lines.append(f"ends: {what}")
+        self.ends[which](ending)
+        await self.settle()
+
+    async def wait(self, ms: int) -> None:
+        for _ in range(ms // 50):
+            self.clock.time += 500
+            self.gateway.tell(i.Woken())
+            await self.settle()
+        self.lines.append(f"after {ms} ms")
+
+    def returned(self, body: bytes = b"bytes", note: int = 1) -> resp.Answer:
+        return resp.Answer(b"", "returned", note, 0, body=body)
+
+
+class Life(TraceCase):
+    def play(self, name: str, story: Callable[[Lifelines], Awaitable[None]]) -> None:
+        async def run() -> None:
+            desk = Lifelines()
+            async with anyio.create_task_group() as group:
+                desk.lives.group = group
+                await story(desk)
+                await desk.settle()
+                router = desk.gateway.router
+                left = (desk.gateway.inboxes, router.gets, router.outs, router.line)
+                self.assertFalse(any(left), "a GET left something behind")
+                self.assertFalse(sum(node.out for node in router.nodes))
+                group.cancel_scope.cancel()
+            self.check(name, desk.lines)
+
+        anyio.run(run)
+
+    def test_returned_and_returned_as_the_same_copy(self) -> None:
+        async def story(desk: Lifelines) -> None:
+            desk.get("a")
+            await desk.settle()
+            await desk.end(0, desk.returned())
+            desk.get("b")
+            await desk.settle()
+            await desk.end(1, resp.Answer(b"", "returned", 1, 0, same=True))
+            await desk.end(1, desk.returned())  # a second answer is dropped
+
+        self.play("life-returned", story)
+
+    def test_forwarded_again(self) -> None:
+        async def story(desk: Lifelines) -> None:
+            for ending in (resp.Answer(b"", "shed", 6, 3), resp.Lost("unreached"), resp.Lost("broken")):
+                desk.get(f"after-{ending.result}")
+                await desk.settle()
+                await desk.end(-1, ending)
+                await desk.end(-1, desk.returned(note=2))
+
+        self.play("life-again", story)
+
+    def test_late_and_recalled(self) -> None:
+        """The viewer timeout comes: shed with a time to come back, recalled, and the late answer dropped."""
+
+        async def story(desk: Lifelines) -> None:
+            desk.get("slow")
+            await desk.settle()
+            await desk.wait(2000)
+            await desk.end(0, desk.returned())
+
+        self.play("life-late", story)
+
+    def test_client_left(self) -> None:
+        async def story(desk: Lifelines) -> None:
+            get = desk.get("left")
+            await desk.settle()
+            get.left()
+            await desk.settle()
+            await desk.end(0, desk.returned())
+
+        self.play("life-left", story)
+
+    def test_what_may_have_run_is_errored_not_shed(self) -> None:
+        async def story(desk: Lifelines) -> None:
+            for service in (2, 3):
+                desk.get("write", service)
+                await desk.settle()
+                await desk.end(-1, resp.Lost("broken"))
+                if service == 2:  # tokened: once more, within what is remembered
+                    await desk.end(-1, desk.returned(b"", 0))
+
+        self.play("life-effects", story)
+
+    def test_purged_while_out(self) -> None:
+        async def story(desk: Lifelines) -> None:
+            desk.get("purged")
+            await desk.settle()
+            desk.lines.append("purge of its group")
+            desk.gateway.told(bulletin.PurgeTold("", 1, desk.clock.time // 10 - 40))
+            await desk.end(0, resp.Answer(b"", "shed", 6, 3))
+            await desk.end(-1, desk.returned(note=2))
+
+        self.play("life-purged", story)
+
+    def test_a_fault_in_the_router_is_one_errored_get(self) -> None:
+        async def story(desk: Lifelines) -> None:
+            def fault(now: int, event: i.Event) -> list[i.Action]:
+                raise ZeroDivisionError("on purpose")
+
+            handle, desk.gateway.router.handle = desk.gateway.router.handle, fault  # type: ignore[method-assign]
+            desk.get("unlucky")
+            await desk.settle()
+            desk.gateway.router.handle = handle  # type: ignore[method-assign]
+            desk.get("next")
+            await desk.settle()
+            await desk.end(-1, desk.returned())
+
+        with self.assertLogs("damsonstream.routing.life", "ERROR"):
+            self.play("life-fault", story)
+
+
+SETTINGS: dict[str, Any] = {
+    "balancers": 1, "kinds": ["box", "parent", "origin"], "zones": ["shop"], "myZone": "shop",
+    "lanes": [{"name": "tiles", "onTime": 600000, "hardLimit": 6000000, "idempotency": "idempotent"}],
+    "familyInfo": {"shieldKind": 1, "masterKind": 2, "maxAge": [0], "usableAfter": [0], "passOn": [False],
+                   "says": "all", "zoneBalancers": [1], "purgeSettles": 6000000},
+    "limits": {"cancel": True, "secondCopies": True, "retryAfter": True, "maxAttempts": 6, "maxOpen": 1000,
+               "connectTimeout": 400000, "connIdle": 15000000, "maxStreams": 32, "maxRetryAfter": 500000},
+    "rules": {"startCapacity": 0.2, "warmWithin": 1000000, "fallMultiple": 2.5, "tipAfter": 1000000},
+    "tick": 2000, "weights": "none",
+}  # fmt: skip
+
+
+def told(**changes: Any) -> dict[str, Any]:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        listen = f"127.0.0.1:{free.getsockname()[1]}"
+    whole: dict[str, Any] = {
+        "name": "n0", "listen": listen, "seed": "8c1f30d27a5be964", "bulletin": "127.0.0.1:9",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": {"no": 0, "items": []},
+        "settings": SETTINGS,
+    }  # fmt: skip
+    return {**whole, **changes}
+
+
+def read(content: dict[str, Any]) -> config.Config:
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        json.dump(content, file)
+        file.flush()
+        return config.read(file.name)
+
+
+async def answers(stream: SocketStream, count: int) -> list[str]:
+    """The next answers on a client's connection, in the order of their ends."""
+    data, parts, lines = b"", dict[int, bytes](), list[str]()
+    while len(lines) < count:
+        data += await stream.receive()
+        while len(data) >= 8:
+            _, kind, id, size, padding = fastcgi.HEADER.unpack_from(data)
+            if len(data) < 8 + size + padding:
+                break
+            content, data = data[8 : 8 + size], data[8 + size + padding :]
+            if kind == fastcgi.END:
+                head, _, body = parts.pop(id, b"").partition(b"\r\n\r\n")
+                size_told = f"{len(body)} bytes" if len(body) > 20 else repr(body)
+                lines.append(f"  id {id}: {head.splitlines()} {size_told} end {content[4]}")
+            else:
+                parts[id] = parts.get(id, b"") + content
+    return lines
+
+
+class Loopback(TraceCase):
+    def fields(self, ident: str, **more: str) -> dict[str, str]:
+        known = {"SCRIPT_NAME": "/v1/tiles", "HTTP_X_TXN": ident, "HTTP_X_ROW": "7f3a"}
+        return {**known, "HTTP_X_TTL_MS": "5000", **more}
+
+    def test_one_gateway(self) -> None:
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        anyio.run(self.run_gateway, backend_options={"use_uvloop": True})
+
+    async def run_gateway(self) -> None:
+        cache, board, lines = StandIn(), StandIn(), list[str]()
+        async with anyio.create_task_group() as group:
+            ports = list[str]()
+            for handler in (cache.cache, board.bulletin):
+                listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+                ports.append(f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}")
+                group.start_soon(listener.serve, handler)
+            box = {"uid": "s-00000001", "endpoint": ports[0], "az": "shop", "model": "box", "state": "ready"}
+            parent = {**box, "uid": "s-00000002", "model": "parent"}
+            roster = {"rev": 1, "all": True, "targets": [box, parent]}
+            board.frames = [list_frame(2, 2, (3, "127.0.0.1:9", 0, 2))]
+            server = Server(read(told(bulletin=ports[1], known={"no": 1, "items": [{"roster": roster}]})))
+            ended = anyio.Event()
+
+            async def serve() -> None:
+                await server.run()
+                ended.set()
+
+            group.start_soon(serve)
+            await server.ready.wait()
+            host, port = server.config.listen
+            client = await anyio.connect_tcp(host, port)
+
+            async def exchange(what: str, sent: bytes, reply: bytes = b"") -> None:
+                lines.append(what)
+                before = len(cache.came)
+                await client.send(sent)
+                if reply:
+                    await cache.until(lambda: len(cache.came) > before)
+                    lines.extend(f"  cache: {b' '.join(command).decode()}" for command in cache.came[before:])
+                    for place in range(0, len(reply), 50_000):
+                        await cache.streams[-1].send(reply[place : place + 50_000])
+                lines.extend(await answers(client, 1))
+
+            await exchange("health", get_records(1, {"SCRIPT_NAME": "/healthz"}))
+            big = resp.bulks(b"a0", b"served", b"res=filled,took=3", bytes(240_000))
+            await exchange("a GET, a large object", get_records(1, self.fields("a0")), big)
+            same = resp.bulks(b"a1", b"still_good", b"res=hit", b"")
+            seen = self.fields("a1", HTTP_X_SEEN='W/"4be0"', HTTP_X_SLICE="3")
+            await exchange("the client holds a copy", get_records(2, seen), same)
+            await exchange("no time", get_records(3, self.fields("a2", HTTP_X_TTL_MS="")))
+            await exchange("no such service", get_records(3, self.fields("a2", SCRIPT_NAME="/v1/none")))
+            await exchange("a field that would break the list", get_records(3, self.fields("a,2=")))
+            lines.append("two GETs, the first aborted, answers the other way round")
+            before = len(cache.came)
+            await client.send(get_records(4, self.fields("b0")) + get_records(5, self.fields("b1")))
+            await cache.until(lambda: len(cache.came) == before + 2)
+            await client.send(fastcgi.record(fastcgi.ABORT, 4))
+            await cache.until(lambda: len(cache.came) == before + 3)
+            lines.append(f"  cache: {b' '.join(cache.came[-1]).decode()}")
+            late = resp.bulks(b"b0", b"served", b"-", b"late")
+            await cache.streams[-1].send(late + resp.bulks(b"b1", b"served", b"res=hit", b"b1"))
+            lines.extend(await answers(client, 2))
+            lines.append("the only cache resets the connection")
+            before = len(cache.came)
+            await client.send(get_records(6, self.fields("c0")))
+            await cache.until(lambda: len(cache.came) == before + 1)
+            await cache.streams[-1].aclose()
+            lines.extend(await answers(client, 1))
+            lines.append("a broken record ends its own connection")
+            other = await anyio.connect_tcp(host, port)
+            await other.send(b"\x02junk-record")
+            try:
+                await other.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                lines.append("  ended")
+            next_one = resp.bulks(b"d0", b"served", b"-", b"d")
+            await exchange("others go on, the cache is looked at", get_records(7, self.fields("d0")), next_one)
+            await board.until(lambda: len(board.hellos) == 1)
+            await board.streams[-1].aclose()  # it resumes after what it was told
+            await board.until(lambda: len(board.hellos) == 2)
+            lines.append(f"bulletin asked after {board.hellos}, list {sorted(server.caches.pools)}")
+            os.kill(os.getpid(), signal.SIGTERM)
+            last = resp.bulks(b"e0", b"served", b"-", b"e")
+            await exchange("leaving, still answered", get_records(8, self.fields("e0")), last)
+            await ended.wait()
+            group.cancel_scope.cancel()
+        counts = server.counters.counts
+        lines += [f"{name} {counts[name]}" for name in sorted(counts) if not name.startswith("cache.")]
+        self.assertFalse(server.gateway.inboxes or server.front.open or server.gateway.router.outs)
+        self.check("loopback", [re.sub(r"ms=\d+", "ms=..", line) for line in lines])
+
+
+class Start(TraceCase):
+    def test_bad_configurations_are_named(self) -> None:
+        lines, empty = list[str](), dict[str, Any]()
+        changes: list[dict[str, Any]] = [{"listen": "here"}, {"seed": "none"}, {"limits": empty}]
+        changes += [{"known": {"no": 1}}, {"settings": {"limits": empty}}, {"bulletin": 5}]
+        for change in changes:
+            try:
+                read(told(**change))
+            except config.Unusable as fault:
+                lines.append(f"{list(change)}: {fault}")
+        self.check("config", lines)
+
+    def test_missing_configuration_exits_with_2(self) -> None:
+        self.assertEqual(cli.main(["check-config", "--config", str(Path(__file__).parent / "none.json")]), 2)
+
+    def test_log_lines_are_pairs(self) -> None:
+        record = logging.makeLogRecord({"name": "damsonstream.x", "msg": "closed", "levelname": "INFO"})
+        record.created, record.reason, record.what = 1.5, "idle", b'a "b"\n'
+        self.check("log", [logs.KeyValue().format(record)])
