--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -323,7 +323,7 @@
             except (anyio.EndOfStream, anyio.BrokenResourceError):
                 lines.append("  ended")
             next_one = resp.bulks(b"d0", b"served", b"-", b"d")
-            await exchange("others go on, the cache is looked at", get_records(7, self.fields("d0")), next_one)
+            await exchange("others go on, a look first", get_records(7, self.fields("d0")), next_one)
             await board.until(lambda: len(board.hellos) == 1)
             await board.streams[-1].aclose()  # it resumes after what it was told
             await board.until(lambda: len(board.hellos) == 2)
