--- a/damsonstream/transport/caches.py
+++ b/damsonstream/transport/caches.py
@@ -188,7 +188,7 @@
         except TimeoutError:
             connection.reason = connection.reason or "connect-timeout"
         except OSError:
-            connection.reason = connection.reason or "refused"
+            connection.reason = connection.reason or "no-listener"
         except Exception:
             log.exception("connect", extra={"peer": connection.pool.address})
             connection.reason = connection.reason or "fault"
--- a/damsonstream/transport/feed.py
+++ b/damsonstream/transport/feed.py
@@ -53,7 +53,7 @@
         except anyio.BrokenResourceError:
             reason = "reset"
         except OSError:
-            reason = "refused"
+            reason = "no-listener"
         except bulletin.Broken as fault:
             reason = "malformed"
             log.warning("malformed", extra={"side": "bulletin", "what": str(fault)})
