--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -149,6 +149,9 @@
             self.ready.set()
             log.info("ready", extra={"name_": config.name, "listen": f"{host}:{port}", "known": config.last})
         server.close()
+        for connection in (*self.front.clients, *self.caches.connections()):
+            connection.end("stopped", flush=True)
+        await anyio.sleep(0.01)  # each leaves its line
         self.report()
 
 
--- a/damsonstream/routing/gateway.py
+++ b/damsonstream/routing/gateway.py
@@ -10,6 +10,7 @@
 import logging
 import time
 from collections import deque
+from collections.abc import Callable
 from heapq import heappop, heappush
 from typing import Generic, TypeVar
 
@@ -29,11 +30,14 @@
     The one place where Unix milliseconds become the router's time.
     """
 
-    def __init__(self) -> None:
-        self.offset = time.time_ns() - time.monotonic_ns()
+    def __init__(
+        self, monotonic: Callable[[], int] = time.monotonic_ns, unix: Callable[[], int] = time.time_ns
+    ) -> None:
+        self.monotonic, self.unix = monotonic, unix  # nanoseconds
+        self.offset = unix() - monotonic()
 
     def now(self) -> int:
-        return (time.monotonic_ns() + self.offset) // NS
+        return (self.monotonic() + self.offset) // NS
 
     def since(self, unix_ms: int) -> int:
         """A start as told, the same number each time it is told."""
@@ -41,7 +45,7 @@
 
     def age(self, unix_ms: int) -> int:
         """How long ago that was by the Unix clock as it stands now."""
-        return max(0, time.time_ns() // NS - unix_ms * TENTHS)
+        return max(0, self.unix() // NS - unix_ms * TENTHS)
 
 
 class Inbox(Generic[Step]):
--- a/damsonstream/transport/caches.py
+++ b/damsonstream/transport/caches.py
@@ -157,9 +157,12 @@
         self.counted("forwarded")
         return leg
 
+    def connections(self) -> list[Connection]:
+        return [connection for pool in self.pools.values() for connection in pool.connections]
+
     def make_room(self) -> bool:
         """Ends the connection that has been idle longest, to stay within the descriptors' budget."""
-        idle = [c for pool in self.pools.values() for c in pool.connections if not c.legs and not c.reason]
+        idle = [c for c in self.connections() if not c.legs and not c.reason]
         if not idle:
             return False
         min(idle, key=lambda c: c.used).end("room")
@@ -175,7 +178,7 @@
             while True:
                 await anyio.sleep(1)
                 before = time.monotonic() - self.idle
-                for connection in [c for pool in self.pools.values() for c in pool.connections]:
+                for connection in self.connections():
                     if not connection.legs and (connection.used < before or connection.retired):
                         connection.end(connection.retired or "idle")
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -28,17 +28,6 @@
 Told = Callable[[life.Ending], None]
 
 
-class SetClock(Clock):
-    def __init__(self) -> None:
-        self.time = 1000 * S
-
-    def now(self) -> int:
-        return self.time
-
-    def age(self, unix_ms: int) -> int:
-        return self.time - unix_ms * 10
-
-
 @dataclass
 class FakeLeg:
     desk: Lifelines
@@ -52,8 +41,9 @@
     """One gateway without sockets: writes down what is sent, stopped and answered."""
 
     def __init__(self) -> None:
-        self.clock, self.lines = SetClock(), list[str]()
-        self.gateway = Gateway(7, FOOTPRINT, self.clock)
+        self.time, self.lines = 1000 * S, list[str]()
+        clock = Clock(lambda: self.time * 100_000, lambda: self.time * 100_000)
+        self.gateway = Gateway(7, FOOTPRINT, clock)
         self.gateway.tell(i.ListTold("full", tuple(entry(name) for name in ["c1", "c2", "p1", "p2", "o"])))
         self.lives = life.Lives(self.gateway, self.send)
         self.ends: list[Told] = []
@@ -79,7 +69,7 @@
             await anyio.sleep(0)
 
     async def end(self, which: int, ending: life.Ending) -> None:
-        self.clock.time += 300
+        self.time += 300
         what = ending if isinstance(ending, resp.Lost) else f"{ending.result} note {ending.note}"
         self.lines.append(f"ends: {what}")
         self.ends[which](ending)
@@ -87,7 +77,7 @@
 
     async def wait(self, ms: int) -> None:
         for _ in range(ms // 50):
-            self.clock.time += 500
+            self.time += 500
             self.gateway.tell(i.Woken())
             await self.settle()
         self.lines.append(f"after {ms} ms")
@@ -172,7 +162,7 @@
             desk.get("purged")
             await desk.settle()
             desk.lines.append("purge of its group")
-            desk.gateway.told(bulletin.PurgeTold("", 1, desk.clock.time // 10 - 40))
+            desk.gateway.told(bulletin.PurgeTold("", 1, desk.time // 10 - 40))
             await desk.end(0, resp.Answer(b"", "shed", 6, 3))
             await desk.end(-1, desk.returned(note=2))
 
@@ -180,13 +170,11 @@
 
     def test_a_fault_in_the_router_is_one_errored_get(self) -> None:
         async def story(desk: Lifelines) -> None:
-            def fault(now: int, event: i.Event) -> list[i.Action]:
-                raise ZeroDivisionError("on purpose")
-
-            handle, desk.gateway.router.handle = desk.gateway.router.handle, fault  # type: ignore[method-assign]
+            services = list(desk.gateway.router.services)
+            desk.gateway.router.services.clear()
             desk.get("unlucky")
             await desk.settle()
-            desk.gateway.router.handle = handle  # type: ignore[method-assign]
+            desk.gateway.router.services.extend(services)
             desk.get("next")
             await desk.settle()
             await desk.end(-1, desk.returned())
