Slow first bytes count after a window of fills: no origin Open at the start of a busy gateway

A probe of the first second: 50 fills by way of the origin, all counted half a failure (usual first byte 80 after a parent's own copy, the fills' 370 to 850, found in steps of 2 %), then one overdue GET. Ruled out: connections, the sum of the breaker's window, an origin that was slow (70 ms). Wrong line: source_ended counted slowness against a percentile of no fills.

--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -134,7 +134,7 @@
         self.reset()
         self.run, self.ok_at = 0, -S  # troubles since its last good sign (cache: any answer, source: a fill)
         self.spent: deque[list[float]] = deque()  # when, sending time asked of it; emptied as the span rolls
-        self.first_byte = 0.0  # usual high percentile, 0: none seen
+        self.first_byte, self.filled_at = 0.0, 0  # usual high percentile; when its first fill ended, 0: none
 
     def reset(self) -> None:
         self.breaker.reset()
@@ -542,10 +542,9 @@
         self.redispatch()
 
     def source_ended(self, out: Out, event: i.ForwardEnded, blamed: Node | None, filled: bool) -> None:
-        """A source is judged by fills, not by hits."""
         source, service, behind = out.source, out.get.service, event.note in (3, 10) or len(out.parts) > 2
         if event.result == "returned" and not filled:
-            out.cost[1] = 0.0  # a hit asked nothing of it
+            out.cost[1] = 0.0  # a hit asked nothing of it: a source is judged by fills
         late = event.took > service.told.objective + service.told.stretch * (out.get.size or service.mean)
         judged = self.origin if behind and self.origin else source
         # where no first byte is told, a late fill (a recalled one too) thins a parent, but never opens it
@@ -554,9 +553,10 @@
             if "link" not in event.load:
                 ease = 0.99 if out.get.size else 0.97  # balances at a tenth late; unsized, large ones look so
                 self.link = min(16.0, self.link * 1.1) if late else max(1.0, self.link * ease)
-            # half a failure: a first byte later than this source's usual 95th percentile
+            # half a failure: a first byte over this source's usual 95th percentile, after a window of fills
+            source.filled_at = source.filled_at or self.now
             usual = source.first_byte or 2.0 * event.first_byte
-            slow = 0.5 if event.first_byte > usual else slow
+            slow = 0.5 if event.first_byte > usual and self.now - source.filled_at > WINDOW else slow
             source.first_byte = usual * (1.019 if event.first_byte > usual else 0.999)
             source.ok_at, source.run = self.now, 0
             self.note(judged, slow, judged in out.trials)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -228,6 +228,22 @@
         lines.append(f"origin, one in twenty late: limit over 40: {desk.router.origin.limit > 40}")
         self.check("limits", lines)
 
+    def test_an_origin_is_not_slow_before_its_usual_is_known(self) -> None:
+        """At a start under load all fills are over a usual first byte that began low: no sign of trouble."""
+        lines = list[str]()
+        for wait in (0, 4 * S):
+            desk = Desk("c1 p1 o", notes="all")
+            for get in range(24):
+                desk.now += wait if get == 12 else 50
+                desk.take(get)
+                desk.tell(i.ForwardEnded(get, 0, "c1", "returned", 800, 700 if get else 40, 3, True))
+            for get in (24, 25):
+                desk.take(get)
+                desk.end(get, "shed", note=10)
+            assert desk.router.origin is not None
+            lines.append(f"after {wait // S} s: {desk.router.origin.breaker.state}")
+        self.check("usual-first-byte", lines)
+
     def test_held_gets_wait_for_who_lacks_room(self) -> None:
         """A long line costs nothing while its source is full, and moves on as soon as that has room."""
         desk = Desk("p1 o", notes="all")
