Nothing goes out after the answer: a forward decided while the answer waits for its task

Seen in reading: a second look may be taken between an answer's coming and its task's turn, when the inbox holds both. A test showed it: the forward was sent after the final answer, and its leg stayed open. Wrong lines: life.live put out every Forward. Now it tells the router that it is unsent, and the task ends only with an empty inbox.

--- a/damsonstream/routing/life.py
+++ b/damsonstream/routing/life.py
@@ -144,7 +144,7 @@
         gateway.tell(
             i.GetTaken(number, get.left_ms * TENTHS, get.service, get.thing, get.group, 0.0, get.repeated)
         )
-        while not over or outs:
+        while not over or outs or inbox.steps:
             if patient:
                 expiry = min((out.patience for out in outs.values() if out.patience), default=end)
                 with anyio.move_on_after((expiry - clock.now()) / (1000 * TENTHS)) as waiting:
@@ -160,6 +160,10 @@
                 case i.Forward():
                     leg, now = legs, clock.now()
                     legs += 1
+                    if over:  # decided while the answer waited for this task: nothing goes out after it
+                        outs[leg] = Out(step.cache, now, 0, NOT_OUT)
+                        ended(leg, resp.Lost("unsent"), True)
+                        continue
                     patient |= step.patience > 0
                     wait = min(end, now + step.patience) if step.patience else end
                     command = resp.forward(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -136,6 +136,25 @@
 
         self.play("life-late", story)
 
+    def test_decided_while_the_answer_waits(self) -> None:
+        """A second copy is decided between an answer's coming and its task's turn: it must not be sent."""
+
+        async def story(desk: Lifelines) -> None:
+            for name in ("returned", "left"):
+                get = desk.get(name)
+                await desk.settle()
+                await desk.wait(1750)
+                if name == "returned":
+                    desk.ends[-1](desk.returned())
+                else:
+                    get.left()
+                desk.time += 500
+                desk.gateway.tell(i.Woken())
+                desk.lines.append("a second copy decided")
+                await desk.settle()
+
+        self.play("life-crossing", story)
+
     def test_client_left(self) -> None:
         async def story(desk: Lifelines) -> None:
             get = desk.get("left")
