--- a/damsonstream/program/cli.py
+++ b/damsonstream/program/cli.py
@@ -4,6 +4,7 @@
 
 import argparse
 import os
+import signal
 import sys
 
 from damsonstream import __version__
@@ -42,6 +43,7 @@
 
 
 def serve(told: config.Config, level: str) -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it is taken: it must not end a gateway that starts
     import anyio  # check-config and the bench need neither
 
     from damsonstream.program.serve import Server
--- a/damsonstream/program/config.py
+++ b/damsonstream/program/config.py
@@ -1,13 +1,14 @@
-"""What a gateway is told at start: its configuration file, read once and checked.
+"""What a gateway is told: its configuration file, read and checked at the start and on each SIGHUP.
 
 How it is called: `read(path)` returns a `Config`, or raises `Unusable` with one plain sentence that names the
-field. `footprint()` puts the settings, also those of the bench's first message, into the router's words.
+field; `restarts(old, new)` names what only a restart takes over. `footprint()` puts the settings, also
+those of the bench's first message, into the router's words.
 """
 
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from pathlib import Path
 from typing import Any
 
@@ -24,6 +25,7 @@
 
 @dataclass(frozen=True)
 class Config:
+    path: str  # where it was read, and is read again
     name: str
     listen: tuple[str, int]
     feed: str  # address of the bulletin
@@ -78,6 +80,7 @@
         limits = get("settings", "limits")
         field = "settings"
         return Config(
+            path=path,
             name=name,
             listen=listen,
             feed=told["bulletin"],
@@ -95,10 +98,16 @@
         )
     except KeyError as fault:
         raise Unusable(f"The field {field} of the configuration lacks {fault}.") from fault
-    except (TypeError, ValueError, AttributeError) as fault:
+    except (TypeError, ValueError, AttributeError, ArithmeticError) as fault:
         raise Unusable(f"The field {field} of the configuration can't be used: {fault}.") from fault
 
 
+def restarts(old: Config, new: Config) -> list[str]:
+    """What has changed besides the bulletin's address and the events known, which the bulletin tells."""
+    names = (field.name for field in fields(Config) if field.name not in ("path", "feed", "last", "known"))
+    return [name for name in names if getattr(old, name) != getattr(new, name)]
+
+
 def footprint(told: dict[str, Any]) -> i.Footprint:
     info = told.get("familyInfo", {})
     limits = told.get("limits", {})
--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -1,4 +1,8 @@
-"""One gateway: wires the layers together, follows signals, and ends when it is idle after SIGTERM."""
+"""One gateway: wires the layers together, follows signals, and ends when it is idle after SIGTERM.
+
+SIGHUP reads the configuration file again: the bulletin's address is taken over at once, the rest at a
+restart.
+"""
 
 from __future__ import annotations
 
@@ -7,16 +11,18 @@
 import resource
 import signal
 import time
+from collections.abc import AsyncIterator
 
 import anyio
 
+from damsonstream.program import config as configuration
 from damsonstream.program.config import Config, Unusable
 from damsonstream.program.counters import Counters
 from damsonstream.protocol import bulletin, fastcgi, resp
 from damsonstream.routing import life
 from damsonstream.routing.gateway import Clock, Gateway
-from damsonstream.transport import feed
 from damsonstream.transport.caches import Caches
+from damsonstream.transport.feed import Feed
 from damsonstream.transport.front import Answer, Front
 
 log = logging.getLogger(__name__)
@@ -53,6 +59,8 @@
         self.front = Front(max(1, clients), memory // CLIENT_BYTES, self.open_get, count)
         self.services = {service.name.encode(): n for n, service in enumerate(config.footprint.services)}
         self.lives = life.Lives(self.gateway, self.caches.send)
+        models = config.footprint.models
+        self.feed = Feed(config.feed, config.last, config.locations, models, self.told, count)
         self.ready = anyio.Event()  # the listener is up, the list is known
         for event in config.known:
             self.told(event)
@@ -117,18 +125,36 @@
         self.counters.peak("cpu_s", round(used.ru_utime + used.ru_stime, 2))
         log.info("counters", extra=self.counters.lines())
 
-    async def signals(self, scope: anyio.CancelScope) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as received:
-            async for number in received:
-                if number == signal.SIGUSR1:
-                    self.report()
-                    continue
-                until = time.monotonic() + LINGER
-                log.info("leaving", extra={"signal": number.name, "open": self.front.open})
-                while time.monotonic() < until or self.front.open:
-                    await anyio.sleep(0.02)
-                scope.cancel()
-                return
+    def reload(self) -> None:
+        """SIGHUP: a file that can't be used changes nothing, whatever is wrong with it."""
+        try:
+            fresh = configuration.read(self.config.path)
+        except Unusable as fault:
+            self.counters.add("reload.unusable")
+            log.error("reload", extra={"outcome": "unusable", "what": str(fault)})
+        except Exception:
+            self.counters.add("reload.unusable")
+            log.exception("reload", extra={"outcome": "unusable"})
+        else:
+            self.counters.add("reload.used")
+            restart = ",".join(configuration.restarts(self.config, fresh)) or "-"
+            log.info("reload", extra={"outcome": "used", "bulletin": fresh.feed, "restart_for": restart})
+            self.feed.move(fresh.feed)
+
+    async def signals(self, received: AsyncIterator[signal.Signals], scope: anyio.CancelScope) -> None:
+        async for number in received:
+            if number == signal.SIGUSR1:
+                self.report()
+                continue
+            if number == signal.SIGHUP:
+                self.reload()
+                continue
+            until = time.monotonic() + LINGER
+            log.info("leaving", extra={"signal": number.name, "open": self.front.open})
+            while time.monotonic() < until or self.front.open:
+                await anyio.sleep(0.02)
+            scope.cancel()
+            return
 
     async def run(self) -> None:
         config, (host, port) = self.config, self.config.listen
@@ -136,18 +162,20 @@
             server = await self.front.listen(host, port)
         except OSError as fault:
             raise Unusable(f"The field listen, {host}:{port}, can't be listened on: {fault}.") from fault
-        async with anyio.create_task_group() as group:
-            self.lives.group = group
-            group.start_soon(self.signals, group.cancel_scope)
-            self.gateway.keep_time()
-            group.start_soon(self.caches.run)
-            group.start_soon(feed.follow, config.feed, config.last, config.locations,
-                             config.footprint.models, self.told, self.counters.add)  # fmt: skip
-            gc.collect()
-            gc.freeze()  # what was read at the start stays
-            gc.set_threshold(*GARBAGE)
-            self.ready.set()
-            log.info("ready", extra={"name_": config.name, "listen": f"{host}:{port}", "known": config.last})
+        taken = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
+        with anyio.open_signal_receiver(*taken) as received:  # before anyone can see that it is ready
+            async with anyio.create_task_group() as group:
+                self.lives.group = group
+                group.start_soon(self.signals, received, group.cancel_scope)
+                self.gateway.keep_time()
+                group.start_soon(self.caches.run)
+                group.start_soon(self.feed.follow)
+                gc.collect()
+                gc.freeze()  # what was read at the start stays
+                gc.set_threshold(*GARBAGE)
+                self.ready.set()
+                known = {"listen": f"{host}:{port}", "known": config.last}
+                log.info("ready", extra={"name_": config.name, **known})
         server.close()
         for connection in (*self.front.clients, *self.caches.connections()):
             connection.end("stopped", flush=True)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,8 @@
 import re
 import signal
 import socket
+import subprocess
+import sys
 import tempfile
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -15,9 +17,10 @@
 from typing import Any
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 
-from damsonstream.program import cli, config, logs
+from damsonstream.program import cli, config
+from damsonstream.program.logs import KeyValue
 from damsonstream.program.serve import Server
 from damsonstream.protocol import bulletin, fastcgi, resp
 from damsonstream.routing import interface as i
@@ -252,94 +255,152 @@
     return lines
 
 
+class Stage:
+    """One gateway on loopback between one cache and two bulletins, of which it is told the first."""
+
+    async def begin(self, group: TaskGroup, **changes: Any) -> None:
+        self.cache, self.board, self.other = StandIn(), StandIn(), StandIn()
+        ports = list[str]()
+        for handler in (self.cache.cache, self.board.bulletin, self.other.bulletin):
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            ports.append(f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}")
+            group.start_soon(listener.serve, handler)
+        _, self.old, self.new = ports
+        box = {"uid": "s-00000001", "endpoint": ports[0], "az": "shop", "model": "box", "state": "ready"}
+        roster = {"rev": 1, "all": True, "targets": [box, {**box, "uid": "s-00000002", "model": "parent"}]}
+        self.folder = tempfile.TemporaryDirectory()
+        self.file = Path(self.folder.name) / "config.json"
+        self.told = told(bulletin=self.old, known={"no": 1, "items": [{"roster": roster}]}, **changes)
+        self.file.write_text(json.dumps(self.told))
+        self.server, self.ended = Server(config.read(str(self.file))), anyio.Event()
+        group.start_soon(self.serve)
+        await self.server.ready.wait()
+
+    async def serve(self) -> None:
+        await self.server.run()
+        self.ended.set()
+
+    async def client(self) -> SocketStream:
+        return await anyio.connect_tcp(*self.server.config.listen)
+
+
 class Loopback(TraceCase):
     def fields(self, ident: str, **more: str) -> dict[str, str]:
         known = {"SCRIPT_NAME": "/v1/tiles", "HTTP_X_TXN": ident, "HTTP_X_ROW": "7f3a"}
         return {**known, "HTTP_X_TTL_MS": "5000", **more}
 
-    def test_one_gateway(self) -> None:
+    def play(self, story: Callable[[TaskGroup], Awaitable[None]]) -> None:
+        async def run() -> None:
+            with anyio.fail_after(30):
+                async with anyio.create_task_group() as group:
+                    await story(group)
+                    group.cancel_scope.cancel()
+
+        anyio.run(run, backend_options={"use_uvloop": True})
+
+    def quiet(self) -> None:
         logging.disable(logging.CRITICAL)
         self.addCleanup(logging.disable, logging.NOTSET)
-        anyio.run(self.run_gateway, backend_options={"use_uvloop": True})
-
-    async def run_gateway(self) -> None:
-        cache, board, lines = StandIn(), StandIn(), list[str]()
-        async with anyio.create_task_group() as group:
-            ports = list[str]()
-            for handler in (cache.cache, board.bulletin):
-                listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-                ports.append(f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}")
-                group.start_soon(listener.serve, handler)
-            box = {"uid": "s-00000001", "endpoint": ports[0], "az": "shop", "model": "box", "state": "ready"}
-            parent = {**box, "uid": "s-00000002", "model": "parent"}
-            roster = {"rev": 1, "all": True, "targets": [box, parent]}
-            board.frames = [list_frame(2, 2, (3, "127.0.0.1:9", 0, 2))]
-            server = Server(read(told(bulletin=ports[1], known={"no": 1, "items": [{"roster": roster}]})))
-            ended = anyio.Event()
-
-            async def serve() -> None:
-                await server.run()
-                ended.set()
-
-            group.start_soon(serve)
-            await server.ready.wait()
-            host, port = server.config.listen
-            client = await anyio.connect_tcp(host, port)
-
-            async def exchange(what: str, sent: bytes, reply: bytes = b"") -> None:
-                lines.append(what)
-                before = len(cache.came)
-                await client.send(sent)
-                if reply:
-                    await cache.until(lambda: len(cache.came) > before)
-                    lines.extend(f"  cache: {b' '.join(command).decode()}" for command in cache.came[before:])
-                    for place in range(0, len(reply), 50_000):
-                        await cache.streams[-1].send(reply[place : place + 50_000])
-                lines.extend(await answers(client, 1))
-
-            await exchange("health", get_records(1, {"SCRIPT_NAME": "/healthz"}))
-            big = resp.bulks(b"a0", b"served", b"res=filled,took=3", bytes(240_000))
-            await exchange("a GET, a large object", get_records(1, self.fields("a0")), big)
-            same = resp.bulks(b"a1", b"still_good", b"res=hit", b"")
-            seen = self.fields("a1", HTTP_X_SEEN='W/"4be0"', HTTP_X_SLICE="3")
-            await exchange("the client holds a copy", get_records(2, seen), same)
-            await exchange("no time", get_records(3, self.fields("a2", HTTP_X_TTL_MS="")))
-            await exchange("no such service", get_records(3, self.fields("a2", SCRIPT_NAME="/v1/none")))
-            await exchange("a field that would break the list", get_records(3, self.fields("a,2=")))
-            lines.append("two GETs, the first aborted, answers the other way round")
-            before = len(cache.came)
-            await client.send(get_records(4, self.fields("b0")) + get_records(5, self.fields("b1")))
-            await cache.until(lambda: len(cache.came) == before + 2)
-            await client.send(fastcgi.record(fastcgi.ABORT, 4))
-            await cache.until(lambda: len(cache.came) == before + 3)
-            lines.append(f"  cache: {b' '.join(cache.came[-1]).decode()}")
-            late = resp.bulks(b"b0", b"served", b"-", b"late")
-            await cache.streams[-1].send(late + resp.bulks(b"b1", b"served", b"res=hit", b"b1"))
-            lines.extend(await answers(client, 2))
-            lines.append("the only cache resets the connection")
+
+    def test_new_configurations(self) -> None:
+        """SIGHUP moves the bulletin; a file that can't be used changes nothing and is named in the log."""
+        with self.assertLogs("damsonstream.program.serve", "INFO") as logged:
+            self.play(self.reload)
+        lines = [KeyValue().format(record) for record in logged.records if record.msg == "reload"]
+        self.check("reload", [re.sub(r"\bat=\S+ |:\d{4,5}|/\S*/", "", line) for line in lines])
+
+    async def reload(self, group: TaskGroup) -> None:
+        stage = Stage()
+        await stage.begin(group)
+        stage.board.frames = [list_frame(2, 2, (3, "127.0.0.1:9", 0, 2))]
+        stage.other.frames = [*stage.board.frames, list_frame(3, 2, (4, "127.0.0.1:9", 0, 1))]
+        await stage.board.until(lambda: bool(stage.board.hellos))
+        files = [
+            "no file", "{", json.dumps({**stage.told, "bulletin": "nowhere"}),
+            json.dumps({**stage.told, "limits": {"sockets": 1e999, "memory_mb": 1}}),
+            json.dumps({**stage.told, "bulletin": stage.new, "limits": {"memory_mb": 64, "sockets": 512}}),
+        ]  # fmt: skip
+        for place, text in enumerate(files):
+            stage.file.unlink()
+            if place:
+                stage.file.write_text(text)
+            count = stage.server.counters.counts
+            before = count["reload.used"] + count["reload.unusable"]
+            os.kill(os.getpid(), signal.SIGHUP)
+            while count["reload.used"] + count["reload.unusable"] == before:
+                await anyio.sleep(0.005)
+            self.assertEqual(stage.server.feed.address, stage.new if text == files[-1] else stage.old)
+            stage.file.touch()
+        await stage.other.until(lambda: bool(stage.other.hellos))
+        self.assertEqual(stage.other.hellos, [2])  # from the last number on
+        while "s-00000004" not in stage.server.caches.pools:
+            await anyio.sleep(0.005)
+        self.assertEqual(stage.server.counters.counts["bulletin.moved"], 1)
+
+    def test_one_gateway(self) -> None:
+        self.quiet()
+        self.play(self.run_gateway)
+
+    async def run_gateway(self, group: TaskGroup) -> None:
+        stage, lines = Stage(), list[str]()
+        await stage.begin(group)
+        cache, board, server = stage.cache, stage.board, stage.server
+        board.frames = [list_frame(2, 2, (3, "127.0.0.1:9", 0, 2))]
+        client = await stage.client()
+
+        async def exchange(what: str, sent: bytes, reply: bytes = b"") -> None:
+            lines.append(what)
             before = len(cache.came)
-            await client.send(get_records(6, self.fields("c0")))
-            await cache.until(lambda: len(cache.came) == before + 1)
-            await cache.streams[-1].aclose()
+            await client.send(sent)
+            if reply:
+                await cache.until(lambda: len(cache.came) > before)
+                lines.extend(f"  cache: {b' '.join(command).decode()}" for command in cache.came[before:])
+                for place in range(0, len(reply), 50_000):
+                    await cache.streams[-1].send(reply[place : place + 50_000])
             lines.extend(await answers(client, 1))
-            lines.append("a broken record ends its own connection")
-            other = await anyio.connect_tcp(host, port)
-            await other.send(b"\x02junk-record")
-            try:
-                await other.receive()
-            except (anyio.EndOfStream, anyio.BrokenResourceError):
-                lines.append("  ended")
-            next_one = resp.bulks(b"d0", b"served", b"-", b"d")
-            await exchange("others go on, a look first", get_records(7, self.fields("d0")), next_one)
-            await board.until(lambda: len(board.hellos) == 1)
-            await board.streams[-1].aclose()  # it resumes after what it was told
-            await board.until(lambda: len(board.hellos) == 2)
-            lines.append(f"bulletin asked after {board.hellos}, list {sorted(server.caches.pools)}")
-            os.kill(os.getpid(), signal.SIGTERM)
-            last = resp.bulks(b"e0", b"served", b"-", b"e")
-            await exchange("leaving, still answered", get_records(8, self.fields("e0")), last)
-            await ended.wait()
-            group.cancel_scope.cancel()
+
+        await exchange("health", get_records(1, {"SCRIPT_NAME": "/healthz"}))
+        big = resp.bulks(b"a0", b"served", b"res=filled,took=3", bytes(240_000))
+        await exchange("a GET, a large object", get_records(1, self.fields("a0")), big)
+        same = resp.bulks(b"a1", b"still_good", b"res=hit", b"")
+        seen = self.fields("a1", HTTP_X_SEEN='W/"4be0"', HTTP_X_SLICE="3")
+        await exchange("the client holds a copy", get_records(2, seen), same)
+        await exchange("no time", get_records(3, self.fields("a2", HTTP_X_TTL_MS="")))
+        await exchange("no such service", get_records(3, self.fields("a2", SCRIPT_NAME="/v1/none")))
+        await exchange("a field that would break the list", get_records(3, self.fields("a,2=")))
+        lines.append("two GETs, the first aborted, answers the other way round")
+        before = len(cache.came)
+        await client.send(get_records(4, self.fields("b0")) + get_records(5, self.fields("b1")))
+        await cache.until(lambda: len(cache.came) == before + 2)
+        await client.send(fastcgi.record(fastcgi.ABORT, 4))
+        await cache.until(lambda: len(cache.came) == before + 3)
+        lines.append(f"  cache: {b' '.join(cache.came[-1]).decode()}")
+        late = resp.bulks(b"b0", b"served", b"-", b"late")
+        await cache.streams[-1].send(late + resp.bulks(b"b1", b"served", b"res=hit", b"b1"))
+        lines.extend(await answers(client, 2))
+        lines.append("the only cache resets the connection")
+        before = len(cache.came)
+        await client.send(get_records(6, self.fields("c0")))
+        await cache.until(lambda: len(cache.came) == before + 1)
+        await cache.streams[-1].aclose()
+        lines.extend(await answers(client, 1))
+        lines.append("a broken record ends its own connection")
+        other = await stage.client()
+        await other.send(b"\x02junk-record")
+        try:
+            await other.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            lines.append("  ended")
+        next_one = resp.bulks(b"d0", b"served", b"-", b"d")
+        await exchange("others go on, a look first", get_records(7, self.fields("d0")), next_one)
+        await board.until(lambda: len(board.hellos) == 1)
+        await board.streams[-1].aclose()  # it resumes after what it was told
+        await board.until(lambda: len(board.hellos) == 2)
+        lines.append(f"bulletin asked after {board.hellos}, list {sorted(server.caches.pools)}")
+        os.kill(os.getpid(), signal.SIGTERM)
+        last = resp.bulks(b"e0", b"served", b"-", b"e")
+        await exchange("leaving, still answered", get_records(8, self.fields("e0")), last)
+        await stage.ended.wait()
         counts = server.counters.counts
         lines += [f"{name} {counts[name]}" for name in sorted(counts) if not name.startswith("cache.")]
         self.assertFalse(server.gateway.inboxes or server.front.open or server.gateway.router.outs)
@@ -358,10 +419,25 @@
                 lines.append(f"{list(change)}: {fault}")
         self.check("config", lines)
 
+    def test_the_program_starts_reloads_and_ends(self) -> None:
+        """The program as it is started: SIGHUP leaves it running, SIGTERM ends it with 0."""
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(told(), file)
+            file.flush()
+            command = [sys.executable, "-m", "damsonstream", "serve", "--config", file.name]
+            with subprocess.Popen(command, stderr=subprocess.PIPE, text=True) as program:
+                assert program.stderr is not None
+                for expected, number in (("ready", signal.SIGHUP), ("reload", signal.SIGTERM)):
+                    while f"event={expected}" not in (line := program.stderr.readline()):
+                        self.assertTrue(line, f"it ended before {expected}")
+                    program.send_signal(number)
+                program.stderr.read()
+            self.assertEqual(program.returncode, 0)
+
     def test_missing_configuration_exits_with_2(self) -> None:
         self.assertEqual(cli.main(["check-config", "--config", str(Path(__file__).parent / "none.json")]), 2)
 
     def test_log_lines_are_pairs(self) -> None:
         record = logging.makeLogRecord({"name": "damsonstream.x", "msg": "closed", "levelname": "INFO"})
         record.created, record.reason, record.what = 1.5, "idle", b'a "b"\n'
-        self.check("log", [logs.KeyValue().format(record)])
+        self.check("log", [KeyValue().format(record)])
