--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -177,7 +177,7 @@
                 known = {"listen": f"{host}:{port}", "known": config.last}
                 log.info("ready", extra={"name_": config.name, **known})
         server.close()
-        for connection in (*self.front.clients, *self.caches.connections()):
+        for connection in (*self.front.clients, *self.caches.open):
             connection.end("stopped", flush=True)
         await anyio.sleep(0.01)  # each leaves its line
         self.report()
--- a/damsonstream/protocol/resp.py
+++ b/damsonstream/protocol/resp.py
@@ -1,7 +1,8 @@
 """The commands of caches in RESP arrays of bulk strings, as bytes in and messages out. No sockets, no clock.
 
 How it is called: `forward()` and `stop()` give the bytes of a command; `Decoder().feed(data)` returns the
-answers that `data` completes. Bytes that can't be followed raise `Broken`. Wire names end here.
+answers that `data` completes. Where bytes can't be followed `broken` says why, after the good answers that
+came before them, and nothing more is taken in. Wire names end here.
 """
 
 from __future__ import annotations
@@ -11,6 +12,8 @@
 MOST_BODY = 240_000  # bytes of an object, the protocol's
 MOST_WORD = 4_096  # bytes of any other string: ids, words and fields are short
 MOST_LINE = 16  # bytes of a length line
+MOST_LOAD = 1e6  # of a gauge: what is more, or no number, tells nothing
+MOST_TIME = 10**9  # milliseconds told to have been waited
 
 RESULTS = {
     b"served": "returned",
@@ -50,6 +53,7 @@
     """A forward that ended without an answer: unreached, broken, unsent, expired or recalled."""
 
     result: str
+    shared: bool = False  # it was lost with others on its connection, of which another is told unshared
 
 
 def bulks(*parts: bytes) -> bytes:
@@ -102,8 +106,11 @@
         gauges = (pair.partition(b":")[::2] for pair in told.get(b"gauges", b"").split(b";") if pair)
         load = {LOADS[name]: float(value) for name, value in gauges if name in LOADS}
         waited, stamp = int(float(told.get(b"took") or 0)), int(told.get(b"stamp") or 0)
-    except ValueError as fault:
+    except (ValueError, OverflowError) as fault:
         raise Broken(f"bad field: {fault}") from fault
+    if not 0 <= waited <= MOST_TIME or stamp < 0:
+        raise Broken("bad field: out of range")
+    load = {name: value for name, value in load.items() if 0 <= value <= MOST_LOAD}  # nan is neither
     same, note = word == b"still_good", NOTE.get(told.get(b"res", b""), 0)
     return Answer(ident, RESULTS[word], note, waited, load, same, stamp, body)
 
@@ -116,10 +123,20 @@
         self.parts: list[bytes] = []  # strings of the answer that is coming in
         self.wanted = 0  # strings still to come, 0: an array begins next
         self.size = -1  # of the string that is coming in, -1: its length line is next
+        self.broken = ""  # why nothing more is taken in
 
     def feed(self, data: bytes) -> list[Answer]:
-        self.buffer += data
         found: list[Answer] = []
+        if not self.broken:
+            self.buffer += data
+            try:
+                self.take(found)
+            except Broken as fault:
+                self.broken = str(fault)
+                self.buffer.clear()
+        return found
+
+    def take(self, found: list[Answer]) -> None:
         at = 0
         while True:
             if self.size >= 0:
@@ -142,7 +159,6 @@
             self.length(bytes(self.buffer[at:end]))
             at = end + 2
         del self.buffer[:at]
-        return found
 
     def length(self, line: bytes) -> None:
         sign, digits = line[:1], line[1:]
--- a/damsonstream/routing/interface.py
+++ b/damsonstream/routing/interface.py
@@ -125,6 +125,8 @@
     first_byte: int  # 0: not told
     note: int  # 0: not told
     over: bool
+    # one symptom for several forwards: its connection broke, and another forward on that tells of it
+    shared: bool = False
     # what the cache told of its load: held (GETs), busy (share of its cores), hits (share), and how full the
     # link into its location is (transfers over those that fit at full pace); each where the site tells it
     load: dict[str, float] = field(default_factory=dict)
--- a/damsonstream/routing/life.py
+++ b/damsonstream/routing/life.py
@@ -128,10 +128,10 @@
         out = outs.pop(leg)
         took = clock.now() - out.sent
         if isinstance(ending, resp.Lost):
-            event = i.ForwardEnded(number, leg, out.cache, ending.result, took, 0, 0, final)
+            event = i.ForwardEnded(number, leg, out.cache, ending.result, took, 0, 0, final, ending.shared)
         else:
             event = i.ForwardEnded(number, leg, out.cache, ending.result, took, ending.waited_ms * TENTHS,
-                                   ending.note, final, ending.load)  # fmt: skip
+                                   ending.note, final, False, ending.load)  # fmt: skip
         gateway.tell(event)
 
     def finish(final: Final) -> None:
--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -125,10 +125,10 @@
 class Node:
     """A cache, parent or origin of the list."""
 
-    def __init__(self, place: int, entry: i.Entry, role: str, chance: Chance) -> None:
-        self.place, self.entry, self.role, self.name = place, entry, role, entry.cache
+    def __init__(self, entry: i.Entry, role: str, chance: Chance) -> None:
+        self.entry, self.role, self.name = entry, role, entry.cache
         self.hash, self.breaker = digest(entry.cache), Breaker(chance, role == "origin")
-        self.active, self.out = False, 0  # forwards out to it, or naming it as source
+        self.active, self.left, self.out = False, False, 0  # forwards out to it, or naming it as source
         self.credit, self.credit_at = 0.0, -1  # sending time saved up for it while it is cold, and since when
         self.held, self.held_at = 0.0, -S  # GETs it holds for all gateways, as it told last, and when
         self.reset()
@@ -156,7 +156,7 @@
     luck: float  # drawn as it came: the unlucky are left out while only a part fits
     legs: int = 0
     out: dict[int, Out] = field(default_factory=dict)
-    avoid: set[int] = field(default_factory=set)
+    avoid: set[Node] = field(default_factory=set)
     ran: tuple[int, Node] | None = None  # first forward that may have run
     held: int = -1  # since when, -1: not held
     wants: Node | None = None  # held for room at it, None: at any
@@ -209,8 +209,8 @@
     def start(self, event: i.Started) -> None:
         self.told, self.chance = event.footprint, Chance(event.seed)
         self.services = [Service(service) for service in self.told.services]
-        self.places: dict[str, Node] = {}  # every cache ever listed; as long as the site's list
-        self.nodes, self.caches, self.parents = list[Node](), tuple[Node, ...](), tuple[Node, ...]()
+        self.nodes: dict[str, Node] = {}  # as long as the list, and the forwards still out
+        self.caches, self.parents = tuple[Node, ...](), tuple[Node, ...]()
         self.origin: Node | None = None
         self.gets: dict[int, Get] = {}  # emptied by final answers
         self.outs: dict[tuple[int, int], Out] = {}  # emptied by the end of each forward
@@ -233,23 +233,23 @@
             wait = min(S << min(self.asks, 6), max(S, self.told.ask_within // 8))
             return heappush(self.due, (self.now + int(wait * (0.5 + self.chance.draw())), 0, ASK))
         self.asks = 0
-        for node in self.nodes:
-            node.active &= event.kind == "changes"  # what a full list lacks is gone
+        for node in self.nodes.values() if event.kind != "changes" else ():
+            node.active, node.left = False, True  # what a full list lacks is gone
         for entry in event.entries:
-            if entry.cache not in self.places:
+            if entry.cache not in self.nodes:
                 roles = {self.told.parent_model: "parent", self.told.origin_model: "origin"}
                 role = roles.get(entry.model, "cache" if entry.location == self.told.location else "")
-                self.places[entry.cache] = Node(len(self.nodes), entry, role, self.chance)
-                self.nodes.append(self.places[entry.cache])
-            node = self.places[entry.cache]
+                self.nodes[entry.cache] = Node(entry, role, self.chance)
+            node = self.nodes[entry.cache]
             if entry.since and entry.since != node.entry.since:
                 node.reset()  # a new process: what was seen of the old one says nothing
-            node.entry, node.active = entry, entry.state == "active"
+            node.entry, node.active, node.left = entry, entry.state == "active", entry.state == "left"
             if node.role == "parent" and self.sized:  # 64 hold GETs back where one bears a thousand transfers
                 node.limit = max(64.0, 2.2 * entry.units / self.told.gateways)
-        self.caches = tuple(n for n in self.nodes if n.role == "cache" and n.active)
-        self.parents = tuple(n for n in self.nodes if n.role == "parent" and n.active)
-        self.origin = next((n for n in self.nodes if n.role == "origin" and n.active), None)
+        self.nodes = {n.name: n for n in self.nodes.values() if n.out or not n.left}
+        active = [n for n in self.nodes.values() if n.active]
+        self.caches, self.parents = (tuple(n for n in active if n.role == r) for r in ("cache", "parent"))
+        self.origin = next((n for n in active if n.role == "origin"), None)
         self.redispatch()
 
     def taken(self, event: i.GetTaken) -> None:
@@ -363,7 +363,7 @@
         return next(iter(sources), cache)
 
     def usable(self, node: Node, get: Get) -> bool:
-        if node.place in get.avoid or (node.breaker.state != "Closed" and not self.allows(node)):
+        if node in get.avoid or (node.breaker.state != "Closed" and not self.allows(node)):
             return False
         if node.breaker.share >= 1 and not node.entry.since:
             return True  # what follows says the same, for more work
@@ -434,7 +434,7 @@
         multiple = told.parent_cold_multiple if parent else told.cold_multiple
         capacity = node.entry.units / (told.gateways if parent else told.location_gateways)
         if not self.sized:  # no size told: what warm ones like it get from this gateway
-            like = [n for n in self.nodes if n.role == node.role and n.active and self.warmth(n) >= 1]
+            like = [n for n in (self.parents if parent else self.caches) if self.warmth(n) >= 1]
             asked = sum(cost for n in like for when, cost in n.spent if when > self.now - 3 * S)
             capacity = asked / (3 * S * len(like)) if like else 0.0
         rate = 0.5 * multiple * warmth * capacity  # the rest is left to chance
@@ -455,21 +455,19 @@
 
     def judge(self, out: Out, event: i.ForwardEnded | None) -> Node | None:
         """Whom a forward's trouble is put down to; None: it proves nothing. `event` is None for one overdue.
-
         Where a note tells, it holds. What is shed later than a cache's own is its source's, so is a run of
-        silence while the cache answers others. Else the cache is in doubt, and is looked at first."""
+        silence while the cache answers others. Else the cache is in doubt, and is looked at first; a broken
+        connection is one symptom, of the cache, however many forwards and sources were on it."""
         cache, source = out.cache, out.source
         if event and (event.note in (8, 9) or event.result in ("lacking", "unsent", "recalled")):
             return None
-        if event and event.note == 10:
-            return self.origin
-        if event and event.result == "unreached":
-            return cache
+        if event and (event.note == 10 or event.result == "unreached"):
+            return self.origin if event.note == 10 else cache
         if event and source is not cache and event.note in (6, 7):
             return self.waited(out) if event.took > S // 2 else source
         if event and source is not cache and event.result == "shed" and event.took > NEAR:
             return out.parts[-1]  # the origin, where its parent was known to lack the object
-        if source is not cache and cache.ok_at > out.sent:
+        if source is not cache and cache.ok_at > out.sent and (event is None or event.result != "broken"):
             source.run += 1
             return self.waited(out) if source.run >= LEAST else None
         cache.run += 1
@@ -505,7 +503,7 @@
         self.link = event.load.get("link", self.link)
         good, alive = event.result == "returned", event.result in ("returned", "lacking")
         filled = event.note in (2, 3) or (good and self.told.notes == "none")
-        blamed = None if good or out.judged else self.judge(out, event)
+        blamed = None if good or out.judged or event.shared else self.judge(out, event)
         if alive:
             cache.run, cache.ok_at = 0, self.now
         if alive or blamed is cache:
@@ -533,7 +531,8 @@
             else:
                 doubt = source if event.result == "shed" and event.took > NEAR else cache
                 if event.result != "recalled":
-                    get.avoid.add((blamed or doubt).place)
+                    get.avoid.add(blamed or doubt)
+                self.spare += event.shared and get.legs == 1  # its work was given up: it loads nobody twice
                 if not get.out and self.spare >= 1:
                     self.spare -= 1  # spare ones only, against retry storms
                     self.hold(get, None)  # behind first forwards that wait
@@ -587,7 +586,7 @@
         blamed = None if out.judged else self.judge(out, None)
         out.judged = blamed is not None  # else it counts again: silent twice the usual is twice the sign
         if blamed is not None:
-            get.avoid.add(blamed.place)
+            get.avoid.add(blamed)
             self.note(blamed, 1.0, blamed in out.trials)
         if blamed is None and all(n.breaker.state == "Closed" for n in (out.cache, out.source)):
             return heappush(self.due, (self.now + self.overdue(get), get.id, out.leg))
--- a/damsonstream/transport/caches.py
+++ b/damsonstream/transport/caches.py
@@ -70,15 +70,14 @@
         self.send(resp.stop(leg.ident))
 
     def took(self, data: bytes) -> None:
-        try:
-            for answer in self.decoder.feed(data):
-                leg = self.legs.pop(answer.ident, None)
-                if leg is None:
-                    self.spent.pop(answer.ident, None)  # late: it was given up
-                else:
-                    leg.at_end(answer)
-        except resp.Broken as fault:
-            log.warning("malformed", extra={"cache": self.pool.cache, "what": str(fault)})
+        for answer in self.decoder.feed(data):
+            leg = self.legs.pop(answer.ident, None)
+            if leg is None:  # late, as it was given up; or a second or unknown one, which reaches nobody
+                self.spent.pop(answer.ident, None)
+            else:
+                leg.at_end(answer)
+        if self.decoder.broken:
+            log.warning("malformed", extra={"cache": self.pool.cache, "what": self.decoder.broken})
             self.end("malformed")
         self.used = time.monotonic()
 
@@ -91,8 +90,9 @@
         told = {"side": "cache", "cache": self.pool.cache, "peer": self.pool.address, "reason": self.reason}
         log.info("closed", extra={**told, "forwards": self.forwards, "left": len(legs)})
         self.caches.parted(self)
-        for leg in legs:
-            leg.at_end(resp.Lost("broken" if self.transport is not None else "unreached"))
+        up = self.transport is not None
+        for place, leg in enumerate(legs):  # one connection that broke is one symptom for all that were on it
+            leg.at_end(resp.Lost("broken" if up else "unreached", up and place > 0))
 
 
 @dataclass(slots=True, eq=False)
@@ -112,7 +112,7 @@
         self.most, self.streams, self.connect_timeout, self.idle = most, streams, connect_timeout, idle
         self.counted = count
         self.pools: dict[str, Pool] = {}  # by cache; as long as the list
-        self.count = 0
+        self.open: dict[Connection, None] = {}  # also of caches no longer listed; emptied as they end
         self.group: TaskGroup | None = None
 
     def listed(self, event: bulletin.ListChanged) -> None:
@@ -146,23 +146,20 @@
         fit = [connection for connection in pool.connections if connection.takes(ident)]
         connection = min(fit, key=lambda c: len(c.legs), default=None)
         if connection is None:
-            if self.count >= self.most and not self.make_room():
+            if len(self.open) >= self.most and not self.make_room():
                 at_end(resp.Lost("unsent"))
                 return leg
             connection = Connection(pool, self)
             pool.connections.append(connection)
-            self.count += 1
+            self.open[connection] = None
             self.group.start_soon(self.serve, connection)
         connection.forward(leg, command)
         self.counted("forwarded")
         return leg
 
-    def connections(self) -> list[Connection]:
-        return [connection for pool in self.pools.values() for connection in pool.connections]
-
     def make_room(self) -> bool:
         """Ends the connection that has been idle longest, to stay within the descriptors' budget."""
-        idle = [c for c in self.connections() if not c.legs and not c.reason]
+        idle = [c for c in self.open if not c.legs and not c.reason]
         if not idle:
             return False
         min(idle, key=lambda c: c.used).end("room")
@@ -170,7 +167,7 @@
 
     def parted(self, connection: Connection) -> None:
         connection.pool.connections.remove(connection)
-        self.count -= 1
+        self.open.pop(connection, None)
         self.counted(f"cache.{connection.reason}")
 
     async def run(self) -> None:
@@ -178,7 +175,7 @@
             while True:
                 await anyio.sleep(1)
                 before = time.monotonic() - self.idle
-                for connection in self.connections():
+                for connection in list(self.open):
                     if not connection.legs and (connection.used < before or connection.retired):
                         connection.end(connection.retired or "idle")
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -88,8 +88,8 @@
     ) -> None:
         leg = self.legs[get] - 1 if leg < 0 else leg
         self.say(f"GET {get} leg {leg} {result}" + f" note {note}" * (note > 0))
-        cache = self.sent[get, leg].cache
-        self.tell(i.ForwardEnded(get, leg, cache, result, took, 0, note, result == "returned", load))
+        cache, shared = self.sent[get, leg].cache, load.pop("shared", 0) > 0
+        self.tell(i.ForwardEnded(get, leg, cache, result, took, 0, note, result == "returned", shared, load))
 
     def wait(self, time: int, step: int = 200) -> None:
         """Lets time pass, waking the router as its timers would."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -26,6 +26,7 @@
 from damsonstream.routing import interface as i
 from damsonstream.routing import life
 from damsonstream.routing.gateway import Clock, Gateway
+from damsonstream.transport.caches import Caches
 from tests.helpers import FOOTPRINT, S, StandIn, TraceCase, entry, get_records, list_frame
 
 Told = Callable[[life.Ending], None]
@@ -73,7 +74,9 @@
 
     async def end(self, which: int, ending: life.Ending) -> None:
         self.time += 300
-        what = ending if isinstance(ending, resp.Lost) else f"{ending.result} note {ending.note}"
+        what = f"Lost(result={ending.result!r})"
+        if isinstance(ending, resp.Answer):
+            what = f"{ending.result} note {ending.note}"
         self.lines.append(f"ends: {what}")
         self.ends[which](ending)
         await self.settle()
@@ -100,7 +103,7 @@
                 router = desk.gateway.router
                 left = (desk.gateway.inboxes, router.gets, router.outs, router.line)
                 self.assertFalse(any(left), "a GET left something behind")
-                self.assertFalse(sum(node.out for node in router.nodes))
+                self.assertFalse(sum(node.out for node in router.nodes.values()))
                 group.cancel_scope.cancel()
             self.check(name, desk.lines)
 
@@ -278,6 +281,7 @@
 
     async def serve(self) -> None:
         await self.server.run()
+        self.folder.cleanup()
         self.ended.set()
 
     async def client(self) -> SocketStream:
@@ -407,6 +411,66 @@
         self.check("loopback", [re.sub(r"ms=\d+", "ms=..", line) for line in lines])
 
 
+class Peers(TraceCase):
+    """Connections to caches, without a gateway around them."""
+
+    def test_caches_that_go_and_caches_that_spoil(self) -> None:
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        lines = list[str]()
+
+        async def run() -> None:
+            stand_in, caches = StandIn(), Caches(100, 32, 1.0, 10.0, lambda name: None)
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+
+            def say(name: str) -> Told:
+                def at_end(ending: life.Ending) -> None:
+                    shared = " shared" * (isinstance(ending, resp.Lost) and ending.shared)
+                    lines.append(f"  {name} {ending.result}{shared}")
+
+                return at_end
+
+            async def put_out(*names: str) -> None:
+                before = len(stand_in.came)
+                for name in names:
+                    caches.send("c1", name.encode(), resp.bulks(b"REQ", name.encode(), b"-", b""), say(name))
+                await stand_in.until(lambda: len(stand_in.came) == before + len(names))
+
+            async def gone() -> None:
+                while caches.open:
+                    await anyio.sleep(0.01)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(listener.serve, stand_in.cache)
+                group.start_soon(caches.run)
+                await anyio.sleep(0.01)
+
+                def listed(state: str) -> None:
+                    line = bulletin.Listed("c1", address, "shop", state, 1.0, 0, "box", 0)
+                    caches.listed(bulletin.ListChanged(False, (line,)))
+
+                listed("active")
+                lines.append("a good answer, its second copy, an unknown one, then noise")
+                await put_out("a", "b", "c", "d")
+                good = resp.bulks(b"a", b"served", b"-", b"")
+                await stand_in.streams[-1].send(good * 2 + resp.bulks(b"x", b"served", b"-", b"") + bytes(99))
+                await gone()
+                lines.append("it leaves with a forward on it, which is answered: its connection ends")
+                await put_out("e")
+                listed("left")
+                await stand_in.streams[-1].send(resp.bulks(b"e", b"served", b"-", b""))
+                await gone()
+                group.cancel_scope.cancel()
+
+        async def in_time() -> None:
+            with anyio.fail_after(10):
+                await run()
+
+        anyio.run(in_time, backend_options={"use_uvloop": True})
+        self.check("peers", lines)
+
+
 class Start(TraceCase):
     def test_bad_configurations_are_named(self) -> None:
         lines, empty = list[str](), dict[str, Any]()
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -91,12 +91,9 @@
 class Resp(TraceCase):
     def read(self, pieces: list[bytes]) -> list[str]:
         decoder, lines = resp.Decoder(), list[str]()
-        try:
-            for piece in pieces:
-                lines += map(str, decoder.feed(piece))
-        except resp.Broken as fault:
-            lines.append(f"broken: {fault}")
-        return lines
+        for piece in pieces:
+            lines += map(str, decoder.feed(piece))
+        return lines + [f"broken: {decoder.broken}"] * bool(decoder.broken)
 
     def test_answers_cut_at_every_place(self) -> None:
         stream = b"".join((
@@ -126,6 +123,10 @@
             "no end of a line": b"*" + b"4" * 40, "unknown word": good.replace(b"served", b"severe"),
             "no end of a string": b"*4\r\n$1\r\nabc", "too long a body": good[:-6] + b"$240001\r\n",
             "a number that is none": resp.bulks(b"a", b"served", b"took=soon", b""),
+            "a time out of range": resp.bulks(b"a", b"served", b"took=inf", b""),
+            "a negative time": resp.bulks(b"a", b"served", b"took=-1", b""),
+            "good ones before noise": good + b"noise that never ends" + good,
+            "gauges that tell nothing": resp.bulks(b"a", b"overload", b"gauges=util:nan;x1:-1;x0:1e9", b""),
         }  # fmt: skip
         self.check("resp-broken", [f"{name}: {self.read([data])}" for name, data in cases.items()])
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -82,7 +82,7 @@
             if desk.sent[get, 0].cache == "c1":
                 desk.end(get, "unreached")
             desk.end(get, "returned", note=1)
-        self.assertEqual({n.name for n in desk.router.nodes if n.breaker.state != "Closed"}, {"c1"})
+        self.assertEqual({n.name for n in desk.router.nodes.values() if n.breaker.state != "Closed"}, {"c1"})
 
     def test_slow_origin_leaves_parents_closed(self) -> None:
         """Where notes tell, fills out of time at a parent which gives others are the origin's matter."""
@@ -112,7 +112,7 @@
 
     def test_trial_that_proves_nothing_gives_its_place_back(self) -> None:
         desk = Desk("c1 p1 o")
-        breaker = desk.router.places["p1"].breaker
+        breaker = desk.router.nodes["p1"].breaker
         breaker.open(desk.now)
         desk.now = breaker.until
         for get in range(3):  # hits prove nothing of the source
@@ -135,7 +135,7 @@
                     looked = took > 20 and forward.source == forward.cache
                     desk.end(get, "lacking" if looked else "shed", took=took)
                 desk.wait(1000)
-            states = {n.name for n in desk.router.nodes if n.breaker.state != "Closed"}
+            states = {n.name for n in desk.router.nodes.values() if n.breaker.state != "Closed"}
             self.assertLessEqual(states, open_ones)
             self.assertTrue(states)
 
@@ -152,7 +152,7 @@
                 if get in desk.router.gets:
                     desk.end(get, "returned", note=2)
                 desk.wait(500)
-            state = desk.router.places["p1"].breaker.state
+            state = desk.router.nodes["p1"].breaker.state
             lines.append(f"after {second} s: {asked - before} of 40, {state}")
         self.check("thinned", lines)
 
@@ -163,7 +163,7 @@
             desk.end(get, "returned", note=2, took=40000 if desk.sent[get, 0].source == "p1" else 400)
             desk.wait(300)
         late = [desk.sent[get, 0].source for get in range(60, 120)].count("p1")
-        breaker = desk.router.places["p1"].breaker
+        breaker = desk.router.nodes["p1"].breaker
         self.assertEqual((breaker.state, late < 10), ("Closed", True))
 
     def test_cache_in_doubt_is_looked_at_first(self) -> None:
@@ -271,7 +271,7 @@
                 result = "lacking" if looked else "returned" if kept else "shed"
                 desk.end(get, result, note=2 * kept, took=300)
             desk.wait(300)
-        states = {n.name for n in desk.router.nodes if n.breaker.state != "Closed"}
+        states = {n.name for n in desk.router.nodes.values() if n.breaker.state != "Closed"}
         self.assertEqual(states, {"o"})
         self.assertGreater(returned, 50)
 
@@ -294,6 +294,33 @@
         self.assertGreater(sum(map(bool, spans[:10])), 4)  # it is asked from early on
         self.assertLess(max(spans), 1.0)  # and never for more than it bears
 
+    def test_one_broken_connection_is_one_symptom(self) -> None:
+        """Ten forwards on it, from one source: nobody is opened, and all go again elsewhere."""
+        desk = Desk("c1 c2 p1 o")
+        for get in range(22):
+            desk.take(get)
+        on_it = [get for get in range(22) if desk.sent[get, 0].cache == "c1"]
+        desk.end(on_it.pop(), "returned", note=2)
+        for place, get in enumerate(on_it):
+            desk.end(get, "broken", shared=place > 0)
+        desk.wait(2000)
+        self.assertGreater(len(on_it), 9)
+        self.assertFalse([line for line in desk.lines if "Open" in line or "shed" in line])
+        self.assertEqual({desk.sent[get, 1].cache for get in on_it}, {"c2"})
+
+    def test_caches_that_come_and_go(self) -> None:
+        """New ids replace old ones all day: an old one goes as it has left and no forward holds it."""
+        desk = Desk("c0 p1 o")
+        for number in range(1, 50):
+            desk.take(number, thing=f"/o/{number}")
+            new, old = f"c{number}", f"c{number - 1}"
+            desk.tell(i.ListTold("changes", (entry(new), entry(old, "leaving"))))
+            desk.tell(i.ListTold("changes", (entry(old, "left"),)))
+            self.assertEqual(set(desk.router.nodes), {old, new, "p1", "o"})
+            desk.end(number, "returned", note=2)
+        desk.tell(i.ListTold("full", (entry("p1"), entry("o"))))
+        self.assertEqual(set(desk.router.nodes), {"p1", "o"})
+
     def test_odd_lists(self) -> None:
         """Hundreds of lines, an old list after a restart, an id that comes back, an empty list."""
         desk = Desk(location_gateways=12, gateways=300)
@@ -331,7 +358,7 @@
         desk.take(8, service=2)
         desk.end(8, "broken")  # may have run: the next one, known not to have run, does not undo that
         desk.end(8, "shed")
-        self.assertEqual(desk.router.gets[8].ran, (desk.now, desk.router.places[desk.sent[8, 0].cache]))
+        self.assertEqual(desk.router.gets[8].ran, (desk.now, desk.router.nodes[desk.sent[8, 0].cache]))
         desk.take(9, service=2)
         desk.wait(3 * S - 20)  # the end of what is remembered: no further forward
         desk.end(9, "broken")
