--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -132,7 +132,8 @@
         self.credit, self.credit_at = 0.0, -1  # sending time saved up for it while it is cold, and since when
         self.held, self.held_at = 0.0, -S  # GETs it holds for all gateways, as it told last, and when
         self.reset()
-        self.run, self.ok_at = 0, -S  # troubles since its last good sign (cache: any answer, source: a fill)
+        # troubles since its last good sign (cache: any answer, source: a fill); last fill within the usual
+        self.run, self.ok_at, self.quick_at = 0, -S, -S
         self.spent: deque[list[float]] = deque()  # when, sending time asked of it; emptied as the span rolls
         self.first_byte, self.filled_at = 0.0, 0  # usual high percentile; when its first fill ended, 0: none
 
@@ -215,7 +216,7 @@
         self.gets: dict[int, Get] = {}  # emptied by final answers
         self.outs: dict[tuple[int, int], Out] = {}  # emptied by the end of each forward
         self.due: list[tuple[int, int, int]] = []  # when, GET, leg (or END, LINE, ASK); emptied by time
-        self.armed, self.swept, self.asks = -1, 0, 0
+        self.armed, self.swept, self.asks, self.sized = -1, 0, 0, self.told.weights in ("nominal", "rough")
         self.line: list[tuple[bool, float, int, int]] = []  # further, -density, since, GET
         self.purges: dict[str | int, int] = {}  # object or group: when; emptied when copies have settled
         self.link, self.density = 1.0, 0.0  # link in, 1: just full; usual revenue for a unit of sending time
@@ -223,7 +224,6 @@
         self.spare = self.stock / 2  # further forwards that may still go
         self.ample = 0.6 / max(2, self.told.location_gateways)  # room for what spills
         self.brim = 0.65 if self.told.joins else 0.8  # unjoined, each GET that spills costs a fill of its own
-        self.sized = self.told.weights in ("nominal", "rough")
         if self.told.ask_for_list:
             self.actions.append(i.AskForList())
 
@@ -474,12 +474,12 @@
         return cache if cache.run > 2 else None
 
     def waited(self, out: Out) -> Node | None:
-        """A fill that ran out of time at a parent which gave others meanwhile waited for their origin. Guards
-        against a slow origin that opens every parent. The last source Closed is not opened by silence."""
+        """A fill that ran out of time at a parent which gave others meanwhile waited for their origin; where
+        that too gave some as usual, for a crowded cache. The last source Closed is not opened by silence."""
         source, sources = out.source, (*self.parents, self.origin)
         gave = source.role == "parent" and source.ok_at >= out.sent and not out.copies
         if (gave and self.told.notes == "all") or len(out.parts) > 2:
-            return self.origin
+            return self.origin if self.origin and self.origin.quick_at < out.sent else None
         return source if any(n and n is not source and n.breaker.state == "Closed" for n in sources) else None
 
     def note(self, node: Node, weight: float, trial: bool) -> None:
@@ -557,7 +557,7 @@
             usual = source.first_byte or 2.0 * event.first_byte
             slow = 0.5 if event.first_byte > usual and self.now - source.filled_at > WINDOW else slow
             source.first_byte = usual * (1.019 if event.first_byte > usual else 0.999)
-            source.ok_at, source.run = self.now, 0
+            source.ok_at, source.run, judged.quick_at = self.now, 0, judged.quick_at if slow else self.now
             self.note(judged, slow, judged in out.trials)
         elif blamed is not None and blamed is not out.cache:
             self.note(blamed, 1.0, blamed in out.trials)
@@ -599,8 +599,8 @@
             self.forward(get, cache)
 
     def give_up(self, get: Get) -> None:
-        if get.out and self.now < get.end:
-            return  # one may still return
+        if get.out and self.now < get.end:  # one may still return
+            return
         # soon enough for the objective still to be met, if room is found by then
         back = min(get.service.told.objective // 5, self.told.max_retry_after) if self.told.retry_after else 0
         self.actions.append(i.Shed(get.id, back) if self.may_shed(get) else i.Errored(get.id))
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -294,6 +294,18 @@
         self.assertGreater(sum(map(bool, spans[:10])), 4)  # it is asked from early on
         self.assertLess(max(spans), 1.0)  # and never for more than it bears
 
+    def test_an_origin_that_gives_as_usual_is_not_opened_by_a_crowded_cache(self) -> None:
+        """Fills that stay silent at a crowded cache, while others come through the same parent and origin."""
+        for gives in (True, False):
+            desk = Desk("c1 p1 p2 o", notes="all", gateways=1)
+            for get in range(200):
+                desk.take(get, service=1)
+                if (get, 0) in desk.sent and get % 3 and get not in range(120, 140):
+                    desk.end(get, "returned", note=3 if gives else 2)
+                desk.wait(300)
+            opened = [line for line in desk.lines if "origin o Open" in line]
+            self.assertEqual(bool(opened), not gives)
+
     def test_one_broken_connection_is_one_symptom(self) -> None:
         """Ten forwards on it, from one source: nobody is opened, and all go again elsewhere."""
         desk = Desk("c1 c2 p1 o")
