Bad clients: forms and ranges checked, silent and half GETs ended in 2.4 s, busy ids close

Coming GETs could hold 2 MB a connection. A cache that reads nothing took forwards without end (Connection.takes).

May harm: a web server that connects 2.4 s before its first GET is closed on.

--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -8,6 +8,7 @@
 
 import gc
 import logging
+import re
 import resource
 import signal
 import time
@@ -20,7 +21,7 @@
 from damsonstream.program.counters import Counters
 from damsonstream.protocol import bulletin, fastcgi, resp
 from damsonstream.routing import life
-from damsonstream.routing.gateway import Clock, Gateway
+from damsonstream.routing.gateway import TENTHS, Clock, Gateway
 from damsonstream.transport.caches import Caches
 from damsonstream.transport.feed import Feed
 from damsonstream.transport.front import Answer, Front
@@ -43,6 +44,9 @@
 LINGER = 0.7  # seconds for which GETs still come after SIGTERM, the protocol's
 
 HEALTH, PREFIX = b"/healthz", b"/v1/"
+# The forms of the clients' fields, the protocol's: what has another goes to no cache, which would close on it
+HEX, TOKEN = re.compile(rb"[0-9a-f]{16}"), re.compile(rb"[0-9a-f]{32}")
+MOST_GROUP, MOST_PART = 255, 99_999  # a part holds 240,000 bytes: so many are 24 GB
 
 
 class Server:
@@ -89,11 +93,16 @@
         try:
             name = script.removeprefix(PREFIX)
             ident, thing = fields[b"HTTP_X_TXN"], fields[b"HTTP_X_ROW"]
-            part, left = fields.get(b"HTTP_X_SLICE", b"0"), int(fields[b"HTTP_X_TTL_MS"])
-            group = int(fields.get(b"HTTP_X_SET", b"-1"))
             token = fields.get(b"HTTP_X_TXN_KEY", b"")
+            part, left = fields.get(b"HTTP_X_SLICE", b"0"), whole(fields[b"HTTP_X_TTL_MS"])
+            group = whole(fields[b"HTTP_X_SET"])
             service = self.services[name]
-            if not all(map(usable, (ident, thing, part))) or left <= 0 or (token and not usable(token)):
+            told = self.config.footprint.services[service]
+            if not (HEX.fullmatch(ident) and HEX.fullmatch(thing)) or ident in self.lives.idents:
+                raise ValueError  # an id that is open already would be taken for that one
+            if whole(part) > MOST_PART or not 0 < left * TENTHS <= told.viewer_timeout or group > MOST_GROUP:
+                raise ValueError
+            if not TOKEN.fullmatch(token) if told.effect == "tokened" else token:
                 raise ValueError
         except (KeyError, ValueError):
             self.counters.add("unusable")
@@ -169,6 +178,7 @@
                 group.start_soon(self.signals, received, group.cancel_scope)
                 self.gateway.keep_time()
                 group.start_soon(self.caches.run)
+                group.start_soon(self.front.sweep)
                 group.start_soon(self.feed.follow)
                 gc.collect()
                 gc.freeze()  # what was read at the start stays
@@ -183,6 +193,13 @@
         self.report()
 
 
+def whole(text: bytes) -> int:
+    """A whole number of the clients' wire: digits and nothing else."""
+    if not text.isdigit() or len(text) > 9:
+        raise ValueError
+    return int(text)
+
+
 def usable(text: bytes) -> bool:
     """Whether it can stand in a list of fields of the caches' wire."""
     return 0 < len(text) <= 64 and text.isalnum()
--- a/damsonstream/protocol/fastcgi.py
+++ b/damsonstream/protocol/fastcgi.py
@@ -21,6 +21,7 @@
 MOST_OPEN = 32  # open ids on one connection, the protocol's
 MOST_PARAMS = 16_384  # bytes of parameters of one GET: ten short fields and what a web server adds
 MOST_BODY = 48_000  # bytes that a write brings, the protocol's
+MOST_COMING = 262_144  # bytes of all GETs that come in at once on a connection: five whole writes
 MOST_VALUES = 1024  # of a GET_VALUES query: three short names are defined
 
 
@@ -61,6 +62,7 @@
     params: bytearray = field(default_factory=bytearray)
     body: bytearray = field(default_factory=bytearray)
     fields: dict[bytes, bytes] | None = None
+    size: int = 0  # bytes that came, until it is whole
 
 
 def pairs(data: bytes) -> dict[bytes, bytes]:
@@ -123,6 +125,12 @@
         self.rest = b""  # less than one record, emptied as records are whole
         self.opening: dict[int, Opening] = {}  # GETs still coming in; emptied as they are whole or aborted
         self.open: set[int] = set()  # GETs taken; emptied by done()
+        self.coming = 0  # bytes held of GETs still coming in
+
+    @property
+    def half(self) -> bool:
+        """Whether a record or a GET has come in part."""
+        return bool(self.rest or self.opening)
 
     def done(self, id: int) -> None:
         self.open.discard(id)
@@ -160,12 +168,17 @@
         if kind == BEGIN:
             return self.begin(id, content)
         if kind == ABORT and (id in self.opening or id in self.open):
-            if self.opening.pop(id, None) is not None:
+            if (opening := self.opening.pop(id, None)) is not None:
+                self.coming -= opening.size
                 return Back(ended(id))  # it was never taken
             return Aborted(id)
         opening = self.opening.get(id)
         if opening is None or kind not in (PARAMS, STDIN):
             return None  # of an id that is over, or a stream that a Responder has no use for
+        opening.size += len(content)
+        self.coming += len(content)
+        if self.coming > MOST_COMING:
+            raise Broken("oversize")
         if kind == PARAMS and opening.fields is None:
             opening.params += content
             if len(opening.params) > MOST_PARAMS:
@@ -178,6 +191,7 @@
                 raise Broken("oversize")
             if not content and opening.fields is not None:
                 del self.opening[id]
+                self.coming -= opening.size
                 self.open.add(id)
                 return Taken(id, opening.fields, bytes(opening.body), opening.keep)
         return None
@@ -185,8 +199,8 @@
     def begin(self, id: int, content: bytes) -> Message | None:
         if len(content) != 8:
             raise Broken("bad-record")
-        if id in self.opening or id in self.open:
-            return Back(ended(id, CANT_MPX_CONN))
+        if id in self.opening or id in self.open:  # an end under this id would pass for the open GET's answer
+            raise Broken("busy-id")
         if int.from_bytes(content[:2], "big") != RESPONDER:
             return Back(ended(id, UNKNOWN_ROLE))
         if len(self.opening) + len(self.open) >= MOST_OPEN:
--- a/damsonstream/routing/life.py
+++ b/damsonstream/routing/life.py
@@ -100,9 +100,11 @@
         self.gateway, self.send = gateway, send
         self.group: TaskGroup | None = None
         self.idle: list[asyncio.Future[Job]] = []
+        self.idents: set[bytes] = set()  # of open GETs; emptied as they end
 
     def begin(self, get: Get, answer: Callable[[Final], None]) -> None:
         assert self.group is not None
+        self.idents.add(get.ident)
         if self.idle:
             self.idle.pop().set_result((get, answer))
         else:
@@ -111,6 +113,7 @@
     async def work(self, job: Job) -> None:
         while True:
             await live(self.gateway, self.send, *job)
+            self.idents.discard(job[0].ident)
             if len(self.idle) >= self.IDLE:
                 return
             waiter = asyncio.get_running_loop().create_future()
--- a/damsonstream/transport/caches.py
+++ b/damsonstream/transport/caches.py
@@ -20,6 +20,7 @@
 from damsonstream.transport.link import Link
 
 log = logging.getLogger(__name__)
+UNREAD = 1 << 18  # bytes that a cache has not read: a connection with more takes nothing new
 SPENT = (
     256  # idents remembered as given up on a connection: late answers to them come within a few GETs' time
 )
@@ -52,6 +53,7 @@
 
     def takes(self, ident: bytes) -> bool:
         fit = not self.reason and not self.retired and len(self.legs) < self.caches.streams
+        fit = fit and self.waiting < UNREAD  # guards against a cache that reads nothing
         return fit and ident not in self.legs and ident not in self.spent
 
     def forward(self, leg: Leg, command: bytes) -> None:
--- a/damsonstream/transport/front.py
+++ b/damsonstream/transport/front.py
@@ -13,11 +13,17 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import anyio
+
 from damsonstream.protocol import fastcgi
 from damsonstream.transport.link import Link
 
 log = logging.getLogger(__name__)
 SLOW = 1 << 18  # bytes waiting on one connection before all are added up: more than one object
+# Seconds within which a connection brings its first GET, and any GET is whole: a bad client is owed a close
+# within 3 s. Web servers send a GET at once. Guards against those that say nothing or stop half way.
+PROMPT = 2.4
+SWEEP = 0.3  # seconds between looks for those
 
 
 class Life(Protocol):
@@ -46,6 +52,7 @@
         self.front = front
         self.decoder = fastcgi.Decoder()
         self.lives: dict[int, Life] = {}  # by id; emptied by answers, aborts and its end
+        self.half = self.used  # since when it has been half way through a GET, or has brought none
         self.last = False  # ends after the answers that are open
         self.gets = 0
         self.peer = ""
@@ -56,6 +63,9 @@
         super().connection_made(transport)
 
     def took(self, data: bytes) -> None:
+        whole = self.gets > 0 and not self.decoder.half  # what was there before these bytes
+        if whole:
+            self.half = time.monotonic()
         try:
             for message in self.decoder.feed(data):
                 match message:
@@ -73,7 +83,7 @@
 
     def taken(self, get: fastcgi.Taken) -> None:
         self.gets += 1
-        self.used = time.monotonic()
+        self.used = self.half = time.monotonic()
         self.last |= not get.keep
 
         def answer(data: bytes) -> None:
@@ -121,15 +131,26 @@
         return sum(len(client.lives) + (client.waiting > 0) for client in self.clients)
 
     def joined(self, client: Client) -> None:
-        """One more connection; the one idle longest makes room for it, where the descriptors are used up."""
+        """One more connection; where the descriptors are used up one that never brought a GET makes room for
+        it, else the one idle longest."""
         if len(self.clients) >= self.most:
             idle = [c for c in self.clients if not c.lives and not c.waiting and not c.reason]
             if idle:
-                min(idle, key=lambda c: c.used).end("room")
+                min(idle, key=lambda c: (c.gets > 0, c.used)).end("room")
             else:
                 client.reason = "full"
         self.clients[client] = None
 
+    async def sweep(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP)
+            before = time.monotonic() - PROMPT
+            for client in [c for c in self.clients if c.half < before and not c.reason]:
+                if not client.gets:
+                    client.end("silent")
+                elif client.decoder.half:
+                    client.end("half")
+
     def parted(self, client: Client) -> None:
         self.clients.pop(client, None)
         self.count(f"client.{client.reason}")
