A GET whose connection broke goes again once where its copy is

Line: Router.ended, which put the cache on the GET's avoid list. A reset proves no dead cache: a dead one refuses the next connection, and that is told apart as unreached. Ruled out: the origin's breaker (it was slow, opened rightly), reports (under 100 ms old).

Now its first such forward goes again at the same cache, without a spare one; after that it avoids it. May harm: a GET that makes a cache close its connection does so twice there.

--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -224,8 +224,7 @@
         self.spare = self.stock / 2  # further forwards that may still go
         self.ample = 0.6 / max(2, self.told.location_gateways)  # room for what spills
         self.brim = 0.65 if self.told.joins else 0.8  # unjoined, each GET that spills costs a fill of its own
-        if self.told.ask_for_list:
-            self.actions.append(i.AskForList())
+        self.actions += [i.AskForList()] * self.told.ask_for_list
 
     def list_told(self, event: i.ListTold) -> None:
         if event.kind == "lost":
@@ -529,10 +528,11 @@
                 else:
                     self.dispatch(get)
             else:
+                again = event.result == "broken" and get.legs == 1  # once where its copy is
                 doubt = source if event.result == "shed" and event.took > NEAR else cache
-                if event.result != "recalled":
+                if event.result != "recalled" and not again:
                     get.avoid.add(blamed or doubt)
-                self.spare += event.shared and get.legs == 1  # its work was given up: it loads nobody twice
+                self.spare += again  # what it asked for was given up: it loads nobody twice
                 if not get.out and self.spare >= 1:
                     self.spare -= 1  # spare ones only, against retry storms
                     self.hold(get, None)  # behind first forwards that wait
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -441,6 +441,8 @@
         await client.send(get_records(6, self.fields("c0")))
         await cache.until(lambda: len(cache.came) == before + 1)
         await cache.streams[-1].aclose()
+        await cache.until(lambda: len(cache.came) == before + 2)  # once more where its copy is
+        await cache.streams[-1].aclose()
         lines.extend(await answers(client, 1))
         lines.append("a broken record ends its own connection")
         other = await stage.client()
