--- a/damsonstream/protocol/resp.py
+++ b/damsonstream/protocol/resp.py
@@ -125,6 +125,11 @@
         self.size = -1  # of the string that is coming in, -1: its length line is next
         self.broken = ""  # why nothing more is taken in
 
+    @property
+    def half(self) -> bool:
+        """Whether an answer has come in part."""
+        return bool(self.buffer) or self.wanted > 0
+
     def feed(self, data: bytes) -> list[Answer]:
         found: list[Answer] = []
         if not self.broken:
--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -582,15 +582,16 @@
                 cache.limit += 16 / cache.limit
 
     def look(self, get: Get, out: Out) -> None:
-        """An overdue forward: who is at fault, and would a second copy help?"""
+        """An overdue forward: who is at fault, would a second copy help? Lost: others have answers."""
         blamed = None if out.judged else self.judge(out, None)
-        out.judged = blamed is not None  # else it counts again: silent twice the usual is twice the sign
-        if blamed is not None:
+        if blamed is not None:  # else it counts again: silent twice the usual is twice the sign
+            out.judged = True
             get.avoid.add(blamed)
             self.note(blamed, 1.0, blamed in out.trials)
-        if blamed is None and all(n.breaker.state == "Closed" for n in (out.cache, out.source)):
-            return heappush(self.due, (self.now + self.overdue(get), get.id, out.leg))
         further = len(get.out) == 1 and self.spare >= 1 and get.service.told.effect == "idempotent"
+        lost = min(out.cache.ok_at, out.source.ok_at) > out.sent and self.full(out.cache) < self.brim
+        if blamed is None and not (further and lost) and {n.breaker.state for n in out.parts[:2]} == {"Closed"}:
+            return heappush(self.due, (self.now + self.overdue(get), get.id, out.leg))
         cache = self.pick_cache(get) if further and self.may_forward(get) else None
         if cache is not None and self.told.cancel and "Open" in (n.breaker.state for n in out.parts):
             self.actions.append(i.Recall(get.id, out.leg))  # hung fills must not fill up a live cache
@@ -611,8 +612,7 @@
         self.recall(get, -1)
 
     def recall(self, get: Get, but: int) -> None:
-        if self.told.cancel:
-            self.actions.extend(i.Recall(get.id, leg) for leg in get.out if leg != but)
+        self.actions += [i.Recall(get.id, leg) for leg in get.out if self.told.cancel and leg != but]
 
     def run_due(self) -> None:
         while self.due and self.due[0][0] <= self.now:
--- a/damsonstream/transport/caches.py
+++ b/damsonstream/transport/caches.py
@@ -20,6 +20,10 @@
 from damsonstream.transport.link import Link
 
 log = logging.getLogger(__name__)
+# Seconds without a byte in the middle of an answer after which its connection is of no use: an object at the
+# pace that is told takes under a second in all. Guards against answers that stop short and hold up others.
+STALLED = 1.0
+SWEEP = 0.25  # seconds between looks at the connections
 UNREAD = 1 << 18  # bytes that a cache has not read: a connection with more takes nothing new
 SPENT = (
     256  # idents remembered as given up on a connection: late answers to them come within a few GETs' time
@@ -175,10 +179,13 @@
     async def run(self) -> None:
         async with anyio.create_task_group() as self.group:
             while True:
-                await anyio.sleep(1)
-                before = time.monotonic() - self.idle
+                await anyio.sleep(SWEEP)
+                now = time.monotonic()
+                before = now - self.idle
                 for connection in list(self.open):
-                    if not connection.legs and (connection.used < before or connection.retired):
+                    if connection.decoder.half and connection.used < now - STALLED:
+                        connection.end("stalled")
+                    elif not connection.legs and (connection.used < before or connection.retired):
                         connection.end(connection.retired or "idle")
 
     async def serve(self, connection: Connection) -> None:
