--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -582,17 +582,16 @@
                 cache.limit += 16 / cache.limit
 
     def look(self, get: Get, out: Out) -> None:
-        """An overdue forward: who is at fault, would a second copy help? Lost: others have answers."""
+        """An overdue forward: who is at fault, and would a second copy help?"""
         blamed = None if out.judged else self.judge(out, None)
         if blamed is not None:  # else it counts again: silent twice the usual is twice the sign
             out.judged = True
             get.avoid.add(blamed)
             self.note(blamed, 1.0, blamed in out.trials)
-        more = len(get.out) == 1 and self.spare >= 1 and get.service.told.effect == "idempotent"
-        lost = min(out.cache.ok_at, out.source.ok_at) > out.sent and self.full(out.cache) < self.brim
-        if blamed is None and not (more and lost) and {n.breaker.state for n in out.parts[:2]} == {"Closed"}:
+        if blamed is None and all(n.breaker.state == "Closed" for n in (out.cache, out.source)):
             return heappush(self.due, (self.now + self.overdue(get), get.id, out.leg))
-        cache = self.pick_cache(get) if more and self.may_forward(get) else None
+        further = len(get.out) == 1 and self.spare >= 1 and get.service.told.effect == "idempotent"
+        cache = self.pick_cache(get) if further and self.may_forward(get) else None
         if cache is not None and self.told.cancel and "Open" in (n.breaker.state for n in out.parts):
             self.actions.append(i.Recall(get.id, out.leg))  # hung fills must not fill up a live cache
         elif cache is not None and not self.blocked(get, cache):
