--- a/damsonstream/transport/caches.py
+++ b/damsonstream/transport/caches.py
@@ -23,6 +23,10 @@
 # Seconds without a byte in the middle of an answer after which its connection is of no use: an object at the
 # pace that is told takes under a second in all. Guards against answers that stop short and hold up others.
 STALLED = 1.0
+# Seconds without a byte since a forward went out after which a connection takes no new ones, and ends once
+# none is left: what is out may still be answered. Guards against one that stays open and is of no use: every
+# trial of a cache went out on it, so that its breaker never closed. Costs one more where a cache thinks long.
+QUIET = 1.0
 SWEEP = 0.25  # seconds between looks at the connections
 UNREAD = 1 << 18  # bytes that a cache has not read: a connection with more takes nothing new
 SPENT = (
@@ -53,14 +57,20 @@
         self.spent: OrderedDict[bytes, None] = OrderedDict()  # given up; the oldest go first
         self.retired = ""  # why it takes nothing new
         self.forwards = 0
+        self.asked = 0.0  # when the first forward went out since something came, 0: none
         self.closed = anyio.Event()
 
     def takes(self, ident: bytes) -> bool:
         fit = not self.reason and not self.retired and len(self.legs) < self.caches.streams
-        fit = fit and self.waiting < UNREAD  # guards against a cache that reads nothing
+        fit = fit and not self.quiet and self.waiting < UNREAD  # guards against a cache that reads nothing
         return fit and ident not in self.legs and ident not in self.spent
 
+    @property
+    def quiet(self) -> bool:
+        return 0 < self.asked < time.monotonic() - QUIET
+
     def forward(self, leg: Leg, command: bytes) -> None:
+        self.asked = self.asked or time.monotonic()
         leg.connection = self
         self.legs[leg.ident] = leg
         self.forwards += 1
@@ -85,7 +95,7 @@
         if self.decoder.broken:
             log.warning("malformed", extra={"cache": self.pool.cache, "what": self.decoder.broken})
             self.end("malformed")
-        self.used = time.monotonic()
+        self.used, self.asked = time.monotonic(), 0.0
 
     def ended(self) -> None:
         """Also called when it never came up: then nothing ran."""
@@ -185,6 +195,8 @@
                 for connection in list(self.open):
                     if connection.decoder.half and connection.used < now - STALLED:
                         connection.end("stalled")
+                    elif not connection.legs and connection.quiet:
+                        connection.end("quiet")
                     elif not connection.legs and (connection.used < before or connection.retired):
                         connection.end(connection.retired or "idle")
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -516,10 +516,19 @@
                 await put_out("f", "g")
                 await stand_in.streams[-1].send(resp.bulks(b"f", b"served", b"-", b"whole")[:-4])
                 await gone()
+                lines.append("a connection that stays open and silent: what comes next has another")
+                await put_out("h")
+                await anyio.sleep(0.3)
+                await put_out("i")
+                self.assertEqual(len(caches.open), 2)
+                for stream, name in zip(stand_in.streams[-2:], (b"h", b"i"), strict=True):
+                    await stream.send(resp.bulks(name, b"served", b"-", b""))
+                await anyio.sleep(0.1)
                 lines.append("it leaves with a forward on it, which is answered: its connection ends")
                 await put_out("e")
                 listed("left")
-                await stand_in.streams[-1].send(resp.bulks(b"e", b"served", b"-", b""))
+                for stream in stand_in.streams[-2:]:  # on either
+                    await stream.send(resp.bulks(b"e", b"served", b"-", b""))
                 await gone()
                 group.cancel_scope.cancel()
 
@@ -527,7 +536,8 @@
             with anyio.fail_after(10):
                 await run()
 
-        anyio.run(in_time, backend_options={"use_uvloop": True})
+        with mock.patch("damsonstream.transport.caches.QUIET", 0.2):
+            anyio.run(in_time, backend_options={"use_uvloop": True})
         self.check("peers", lines)
 
 
