--- a/damsonstream/transport/caches.py
+++ b/damsonstream/transport/caches.py
@@ -29,9 +29,7 @@
 QUIET = 1.0
 SWEEP = 0.25  # seconds between looks at the connections
 UNREAD = 1 << 18  # bytes that a cache has not read: a connection with more takes nothing new
-SPENT = (
-    256  # idents remembered as given up on a connection: late answers to them come within a few GETs' time
-)
+SPENT = 256  # idents remembered as over on a connection: late answers to them come within a few GETs' time
 Ending = resp.Answer | resp.Lost
 
 
@@ -54,7 +52,7 @@
         self.pool, self.caches = pool, caches
         self.decoder = resp.Decoder()
         self.legs: dict[bytes, Leg] = {}  # by ident; emptied by answers, stops and its end
-        self.spent: OrderedDict[bytes, None] = OrderedDict()  # given up; the oldest go first
+        self.spent: OrderedDict[bytes, None] = OrderedDict()  # given up or answered; the oldest go first
         self.retired = ""  # why it takes nothing new
         self.forwards = 0
         self.asked = 0.0  # when the first forward went out since something came, 0: none
@@ -80,10 +78,13 @@
         if self.legs.get(leg.ident) is not leg:
             return
         del self.legs[leg.ident]
-        self.spent[leg.ident] = None
+        self.spend(leg.ident)
+        self.send(resp.stop(leg.ident))
+
+    def spend(self, ident: bytes) -> None:
+        self.spent[ident] = None
         if len(self.spent) > SPENT:
             self.spent.popitem(last=False)
-        self.send(resp.stop(leg.ident))
 
     def took(self, data: bytes) -> None:
         for answer in self.decoder.feed(data):
@@ -91,6 +92,7 @@
             if leg is None:  # late, as it was given up; or a second or unknown one, which reaches nobody
                 self.spent.pop(answer.ident, None)
             else:
+                self.spend(answer.ident)  # a second copy, split from this one, is no later forward's answer
                 leg.at_end(answer)
         if self.decoder.broken:
             log.warning("malformed", extra={"cache": self.pool.cache, "what": self.decoder.broken})
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -524,6 +524,18 @@
                 for stream, name in zip(stand_in.streams[-2:], (b"h", b"i"), strict=True):
                     await stream.send(resp.bulks(name, b"served", b"-", b""))
                 await anyio.sleep(0.1)
+                lines.append("a second copy, split from the first, is not the next forward's answer")
+                bad = resp.bulks(b"j", b"overload", b"res=no_slot", b"")
+                await put_out("j")
+                await stand_in.streams[-1].send(bad)
+                await anyio.sleep(0.05)
+                await put_out("j")
+                for stream in stand_in.streams[-3:-1]:
+                    await stream.send(bad)
+                await anyio.sleep(0.05)
+                lines.append("  and then its own")
+                await stand_in.streams[-1].send(resp.bulks(b"j", b"served", b"-", b""))
+                await anyio.sleep(0.05)
                 lines.append("it leaves with a forward on it, which is answered: its connection ends")
                 await put_out("e")
                 listed("left")
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -322,6 +322,26 @@
         desk.end(on_it[0], "broken")
         self.assertEqual(desk.sent[on_it[0], 2].cache, "c2")
 
+    def test_silent_forwards_of_one_connection_are_counted_one_by_one(self) -> None:
+        """As it is, and known to be: nothing tells the router that their connection is the same one."""
+        desk = Desk("c1 p1 o", joins=False)
+        for get in range(8):
+            desk.take(get)
+        desk.wait(12 * S // 10)
+        self.check("silent-together", desk.lines)
+
+    def test_a_told_busy_cache_is_raised_by_each_answer(self) -> None:
+        """As it is, and known to be: answers that bring one report raise it four times within a millisecond."""
+        desk, lines = Desk("c1 p1 o", location_gateways=3), list[str]()
+        for get in range(5):
+            desk.take(get)
+        cache = desk.router.nodes["c1"]
+        for get in range(5):
+            desk.now += 2
+            desk.end(get, "returned", 1, busy=1.0)
+            lines.append(f"{cache.out} out, told {cache.held:.0f}, full {desk.router.full(cache):.2f}")
+        self.check("told-together", lines)
+
     def test_caches_that_come_and_go(self) -> None:
         """New ids replace old ones all day: an old one goes as it has left and no forward holds it."""
         desk = Desk("c0 p1 o")
