--- a/damsonstream/__main__.py
+++ b/damsonstream/__main__.py
@@ -2,4 +2,5 @@
 
 from damsonstream.program.cli import main
 
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(main())
--- a/damsonstream/program/config.py
+++ b/damsonstream/program/config.py
@@ -40,6 +40,8 @@
     idle: float
     streams: int  # forwards on one connection
     most_open: int  # GETs open at once
+    drain_grace: int = 0  # the rules' figures, tenths of a millisecond, 0: not told; only records hold them
+    purge_grace: int = 0
 
 
 def tenths(value: Any) -> int:
@@ -95,6 +97,8 @@
             idle=int(limits.get("connIdle", 15_000_000)) / 1e6,
             streams=int(limits.get("maxStreams", 1)),
             most_open=int(limits.get("maxOpen", 1000)),
+            drain_grace=tenths(told["settings"].get("rules", {}).get("stopSendingWithin", 0)),
+            purge_grace=tenths(told["settings"].get("familyInfo", {}).get("noticeTime", 0)),
         )
     except KeyError as fault:
         raise Unusable(f"The field {field} of the configuration lacks {fault}.") from fault
--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -13,6 +13,7 @@
 import signal
 import time
 from collections.abc import AsyncIterator
+from typing import TYPE_CHECKING
 
 import anyio
 
@@ -26,6 +27,9 @@
 from damsonstream.transport.feed import Feed
 from damsonstream.transport.front import Answer, Front
 
+if TYPE_CHECKING:  # only loaded where records are on: idle memory of a gateway must not rise
+    from damsonstream.records.recorder import Recorder
+
 log = logging.getLogger(__name__)
 RESERVED = (
     32  # descriptors that neither clients nor caches get: standard ones, the loop's, bulletin, listener
@@ -50,13 +54,14 @@
 
 
 class Server:
-    def __init__(self, config: Config) -> None:
-        self.config, self.counters = config, Counters()
+    def __init__(self, config: Config, recorder: Recorder | None = None) -> None:
+        self.config, self.counters, self.recorder = config, Counters(), recorder
         count = self.counters.add
         memory = config.memory_mb * MB
         clients = config.sockets // CLIENTS
         cache_most = min(config.sockets - clients - RESERVED, memory // CACHE_BYTES // resp.MOST_BODY)
         self.gateway = Gateway(config.seed, config.footprint, Clock())
+        self.gateway.observer = recorder
         self.caches = Caches(
             max(1, cache_most), config.streams, config.connect_timeout, config.idle - 1.0, count
         )
@@ -67,11 +72,13 @@
         self.feed = Feed(config.feed, config.last, config.locations, models, self.told, count)
         self.ready = anyio.Event()  # the listener is up, the list is known
         for event in config.known:
-            self.told(event)
+            self.told(event, 0)
 
-    def told(self, event: bulletin.Event) -> None:
+    def told(self, event: bulletin.Event, number: int) -> None:
         if isinstance(event, bulletin.ListChanged):
             self.caches.listed(event)
+        if self.recorder is not None:
+            self.recorder.news(self.gateway.clock.now(), number, event)
         self.gateway.told(event)
 
     def open_get(self, taken: fastcgi.Taken, answer: Answer) -> life.Get | None:
@@ -83,6 +90,7 @@
         self.counters.add("taken")
         if len(self.gateway.inboxes) >= self.config.most_open:
             self.counters.add("shed")
+            self.turned(fields, "shed", "overloaded")
             answer(fastcgi.ended(taken.id, fastcgi.OVERLOADED))
             return None
 
@@ -106,6 +114,7 @@
                 raise ValueError
         except (KeyError, ValueError):
             self.counters.add("unusable")
+            self.turned(fields, "errored", "unusable")
             final(life.Final("errored"))
             return None
         holds = fields.get(b"HTTP_X_SEEN", b"").removeprefix(b"W/").strip(b'"')
@@ -115,6 +124,11 @@
         self.lives.begin(get, final)
         return get
 
+    def turned(self, fields: dict[bytes, bytes], outcome: str, reason: str) -> None:
+        if self.recorder is not None:
+            ident = fields.get(b"HTTP_X_TXN", b"")
+            self.recorder.turned(self.gateway.clock.now(), ident, outcome, reason)
+
     def words(self, id: int, final: life.Final) -> bytes:
         match final.outcome:
             case "returned" if final.same:
@@ -132,7 +146,18 @@
         used = resource.getrusage(resource.RUSAGE_SELF)
         self.counters.peak("rss_mb", used.ru_maxrss // 1024)
         self.counters.peak("cpu_s", round(used.ru_utime + used.ru_stime, 2))
-        log.info("counters", extra=self.counters.lines())
+        records = self.recorder.counts() if self.recorder is not None else {}
+        log.info("counters", extra={**self.counters.lines(), **records})
+
+    def reloaded(self, outcome: str, what: str) -> None:
+        if self.recorder is not None:
+            self.recorder.reloaded(self.gateway.clock.now(), outcome, what)
+
+    async def pulse(self, recorder: Recorder) -> None:
+        """Each second, that the gateway lives: a reader tells a quiet one from one that has stopped."""
+        while True:
+            recorder.pulse(self.gateway.clock.now(), len(self.gateway.inboxes))
+            await anyio.sleep(1.0)
 
     def reload(self) -> None:
         """SIGHUP: a file that can't be used changes nothing, whatever is wrong with it."""
@@ -141,6 +166,7 @@
         except Unusable as fault:
             self.counters.add("reload.unusable")
             log.error("reload", extra={"outcome": "unusable", "what": str(fault)})
+            self.reloaded("unusable", str(fault))
         except Exception:
             self.counters.add("reload.unusable")
             log.exception("reload", extra={"outcome": "unusable"})
@@ -148,6 +174,7 @@
             self.counters.add("reload.used")
             restart = ",".join(configuration.restarts(self.config, fresh)) or "-"
             log.info("reload", extra={"outcome": "used", "bulletin": fresh.feed, "restart_for": restart})
+            self.reloaded("used", fresh.feed)
             self.feed.move(fresh.feed)
 
     async def signals(self, received: AsyncIterator[signal.Signals], scope: anyio.CancelScope) -> None:
@@ -180,6 +207,8 @@
                 group.start_soon(self.caches.run)
                 group.start_soon(self.front.sweep)
                 group.start_soon(self.feed.follow)
+                if self.recorder is not None:
+                    group.start_soon(self.pulse, self.recorder)
                 gc.collect()
                 gc.freeze()  # what was read at the start stays
                 gc.set_threshold(*GARBAGE)
@@ -190,6 +219,9 @@
         for connection in (*self.front.clients, *self.caches.open):
             connection.end("stopped", flush=True)
         await anyio.sleep(0.01)  # each leaves its line
+        if self.recorder is not None:
+            self.recorder.stopped(self.gateway.clock.now(), "signal")
+            self.recorder.writer.close()
         self.report()
 
 
--- a/damsonstream/routing/gateway.py
+++ b/damsonstream/routing/gateway.py
@@ -12,7 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from heapq import heappop, heappush
-from typing import Generic, TypeVar
+from typing import Generic, Protocol, TypeVar
 
 from damsonstream.protocol import bulletin
 from damsonstream.routing import interface as i
@@ -67,7 +67,28 @@
         return self.steps.popleft()
 
 
+class Observer(Protocol):
+    """Is told of all that is decided and seen; `now` is the router's clock. Must neither raise nor wait."""
+
+    def opened(
+        self, now: int, number: int, ident: bytes, service: int, thing: str, group: int, left: int,
+        repeated: bool,
+    ) -> None: ...  # fmt: skip
+
+    def sent(self, now: int, number: int, leg: int, forward: i.Forward) -> None: ...
+
+    def came(self, now: int, event: i.ForwardEnded, stamp: int) -> None: ...
+
+    def final(self, now: int, number: int, outcome: str, come_back: int, size: int, leg: int) -> None: ...
+
+    def left(self, now: int, number: int) -> None: ...
+
+    def decided(self, now: int, actions: list[i.Action]) -> None: ...
+
+
 class Gateway:
+    observer: Observer | None = None
+
     def __init__(self, seed: int, footprint: i.Footprint, clock: Clock) -> None:
         self.clock, self.router = clock, Router()
         self.inboxes: dict[int, Inbox[i.Action]] = {}  # by GET; emptied as its task ends
@@ -89,7 +110,10 @@
 
     def tell(self, event: i.Event) -> None:
         now = self.clock.now()
-        for action in self.router.handle(now, event):
+        actions = self.router.handle(now, event)
+        if self.observer is not None and actions:
+            self.observer.decided(now, actions)
+        for action in actions:
             match action:
                 case i.Forward() | i.Recall() | i.Shed() | i.Errored():
                     if (inbox := self.inboxes.get(action.get)) is not None:
--- a/damsonstream/routing/interface.py
+++ b/damsonstream/routing/interface.py
@@ -183,6 +183,8 @@
 @dataclass(slots=True, frozen=True)
 class Trace:
     text: str
+    # what a breaker was judged on as it opened: bad ones in a row, fills in the window, weighted failures
+    judged: tuple[int, float, float] = (0, 0.0, 0.0)
 
 
 Action = Forward | Recall | Shed | Errored | Wake | AskForList | Trace
--- a/damsonstream/routing/life.py
+++ b/damsonstream/routing/life.py
@@ -125,25 +125,35 @@
     clock, inbox, outs, legs, over = gateway.clock, get.inbox, dict[int, Out](), 0, False
     patient = False  # whether a forward has a time of its own
     end = clock.now() + get.left_ms * TENTHS
-    number = gateway.open(inbox)  # type: ignore[arg-type]
+    number, seen = gateway.open(inbox), gateway.observer  # type: ignore[arg-type]
 
     def ended(leg: int, ending: Ending, final: bool) -> None:
         out = outs.pop(leg)
-        took = clock.now() - out.sent
+        now, stamp = clock.now(), 0
+        took = now - out.sent
         if isinstance(ending, resp.Lost):
             event = i.ForwardEnded(number, leg, out.cache, ending.result, took, 0, 0, final, ending.shared)
         else:
             event = i.ForwardEnded(number, leg, out.cache, ending.result, took, ending.waited_ms * TENTHS,
                                    ending.note, final, False, ending.load)  # fmt: skip
+            stamp = ending.stamp
+        if seen is not None:
+            seen.came(now, event, stamp)
         gateway.tell(event)
 
-    def finish(final: Final) -> None:
+    def finish(final: Final, leg: int = -1) -> None:
         nonlocal over
         if not over:
             over = True
             answer(final)
+            if seen is not None:
+                size = len(final.body)
+                seen.final(clock.now(), number, final.outcome, final.come_back_ms, size, leg)
 
     try:
+        if seen is not None:
+            seen.opened(clock.now(), number, get.ident, get.service, get.thing, get.group,
+                        get.left_ms * TENTHS, get.repeated)  # fmt: skip
         gateway.tell(
             i.GetTaken(number, get.left_ms * TENTHS, get.service, get.thing, get.group, 0.0, get.repeated)
         )
@@ -182,6 +192,8 @@
 
                     out = Out(step.cache, now, now + step.patience if step.patience else 0, NOT_OUT)
                     outs[leg] = out
+                    if seen is not None:
+                        seen.sent(now, number, leg, step)
                     out.handle = send(step.cache, get.ident, command, at_end)
                 case Ended():
                     if step.leg not in outs:
@@ -189,7 +201,7 @@
                     good = isinstance(step.ending, resp.Answer) and step.ending.result == "returned"
                     if good and not over:
                         assert isinstance(step.ending, resp.Answer)
-                        finish(Final("returned", step.ending.body, step.ending.same))
+                        finish(Final("returned", step.ending.body, step.ending.same), step.leg)
                     ended(step.leg, step.ending, over)
                 case i.Recall():
                     if step.leg in outs:
@@ -202,6 +214,8 @@
                 case Left():
                     if not over:
                         over = True
+                        if seen is not None:
+                            seen.left(clock.now(), number)
                         gateway.tell(i.ClientLeft(number))
     except Exception:
         log.exception("life", extra={"get": get.ident})
--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -66,6 +66,7 @@
         self.share, self.share_at = 1.0, 0  # of its objects, what it takes; thinned while it fails in part
         self.buckets: deque[list[float]] = deque()  # start, count, failures; emptied as the window rolls
         self.total = [0.0, 0.0, 0.0]  # their sums
+        self.judged = (0, 0.0, 0.0)  # what it opened on: the run, and the window's count and failures
 
     def allows(self, now: int) -> bool:
         if self.state == "Open" and now >= self.until:
@@ -107,6 +108,7 @@
         return min(1.0, self.share * 2 ** min(9.0, (now - self.share_at) / DOUBLES))
 
     def open(self, now: int) -> str:
+        self.judged = (self.run, self.total[1], self.total[2])
         self.state, self.until = "Open", now + int(self.cool_down * (1 + JITTER * self.chance.draw()))
         self.buckets, self.total = deque(), [0.0, 0.0, 0.0]
         return "Open"
@@ -483,7 +485,7 @@
 
     def note(self, node: Node, weight: float, trial: bool) -> None:
         if change := node.breaker.note(self.now, weight, trial):
-            self.actions.append(i.Trace(f"{node.role} {node.name} {change}"))
+            self.actions.append(i.Trace(f"{node.role} {node.name} {change}", node.breaker.judged))
 
     def ended(self, event: i.ForwardEnded) -> None:
         out = self.outs.pop((event.get, event.leg), None)
--- /dev/null
+++ b/damsonstream/settings/operator.py
@@ -0,0 +1,55 @@
+"""The operator's own settings of a gateway: what the platform's configuration does not tell.
+
+How it is called: `read(path)` gives `Operator`, or raises `kdl.Fault` with file, line and field. An example
+stands in deploy/operator.example.kdl. Without such a file everything here is off.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from damsonstream.records.keeper import Limits
+from damsonstream.settings import kdl
+
+LEAST_BYTES = 1 << 20  # of a store: eight segments of 128 KB
+LEAST_AGE = 60.0
+
+
+@dataclass(slots=True, frozen=True)
+class Records:
+    """Where records are kept, and how much of them; `shift` and `drift` are for trials of wrong clocks."""
+
+    folder: Path
+    limits: Limits = field(default_factory=Limits)
+    shift: float = 0.0  # seconds
+    drift: float = 0.0  # seconds a second
+
+
+@dataclass(slots=True, frozen=True)
+class Operator:
+    records: Records | None = None
+
+
+def records(section: kdl.Section) -> Records:
+    folder = section.text("folder")
+    if not folder:
+        raise section.fault("names no folder", "folder")
+    default = Limits()
+    limits = Limits(
+        section.size("bytes", default.bytes, LEAST_BYTES), section.span("age", default.age, LEAST_AGE)
+    )
+    shift, drift = 0.0, 0.0
+    if trial := section.section("trial-clock"):
+        shift, drift = trial.number("shift", 0.0, -1e6, 1e6), trial.number("drift", 0.0, -0.01, 0.01)
+        trial.finish()
+    section.finish()
+    return Records(Path(folder), limits, shift, drift)
+
+
+def read(path: str) -> Operator:
+    top = kdl.read(path)
+    told = top.section("records")
+    found = Operator(records(told) if told else None)
+    top.finish()
+    return found
--- a/damsonstream/transport/feed.py
+++ b/damsonstream/transport/feed.py
@@ -1,6 +1,7 @@
 """The bulletin's connection: connects, asks for what follows the last event, and begins again when it breaks.
 
-How it is called: `await Feed(...).follow()` never ends; each event is handed to `told` once, in order.
+How it is called: `await Feed(...).follow()` never ends; each event is handed to `told`
+once, with its number, in order.
 `move(address)` points it elsewhere, also while it is connected: it asks there for what follows the last one.
 """
 
@@ -29,7 +30,7 @@
         last: int,
         locations: tuple[str, ...],
         models: tuple[str, ...],
-        told: Callable[[bulletin.Event], None],
+        told: Callable[[bulletin.Event, int], None],
         count: Callable[[str], None],
     ) -> None:
         self.address, self.last, self.locations, self.models = address, last, locations, models
@@ -77,7 +78,7 @@
                         self.heard += 1
                         self.count("bulletin.events")
                         try:
-                            self.told(event)
+                            self.told(event, decoder.last)
                         except Exception:
                             log.exception("bulletin event")
         except TimeoutError:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -331,7 +331,7 @@
         self.check("silent-together", desk.lines)
 
     def test_a_told_busy_cache_is_raised_by_each_answer(self) -> None:
-        """As it is, and known to be: answers that bring one report raise it four times within a millisecond."""
+        """As it is, and known to be: answers that bring one report raise it four times in one ms."""
         desk, lines = Desk("c1 p1 o", location_gateways=3), list[str]()
         for get in range(5):
             desk.take(get)
