Demo, report and incident analysis: a fleet in one command, told phase by phase from its records

Need: operators can't say after a bad morning what happened in what order, and a new user can't start a gateway at all. Change: damsonstream/incident (phases, gather over a folder of records), damsonstream/report (one HTML page, charts as SVG, no scripts; JSON), damsonstream/demo (scenarios in KDL, real gateways, stand-ins, a checker that knows the script).

--- /dev/null
+++ b/damsonstream/demo/play.py
@@ -0,0 +1,231 @@
+"""One play of the demo: stand-ins, gateways and viewers on loopback, a script, and what truly happened.
+
+How it is called: `await play(scenario, folder, seed, progress)` returns a `Truth`; the records lie in
+`folder/records` then, or where `records` says.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import anyio
+
+from damsonstream.demo.fleet import Fleet
+from damsonstream.demo.scenario import Scenario, Step
+from damsonstream.standins import wire
+from damsonstream.standins.clients import Front, Try
+from damsonstream.standins.faults import Plan
+from damsonstream.standins.servers import LOOPBACK, Shape, World
+from damsonstream.standins.traffic import GROUPS, Catalogue, Offer, arrivals
+
+OFFERS = (
+    Offer("pages", 0.6, 900, 0.9, 12_000, 3000),
+    Offer("covers", 0.3, 500, 1.0, 4_000, 1500),
+    Offer("unlock", 0.1, 400, 0.7, 400, 3000, tokened=True),
+)
+VIEWERS = 500
+REMEMBERED = 3.0  # seconds for which the vault knows a token
+TAIL = 1.0  # seconds after the last arrival, for what is still open
+CLOSE = 4.0  # seconds that viewers' last GETs may take: the longest patience and a little
+
+
+@dataclass(slots=True)
+class Happened:
+    """A step of the script, when it truly happened; Unix seconds."""
+
+    step: Step
+    start: float
+    end: float
+
+
+@dataclass(slots=True)
+class Truth:
+    """What is known without any record."""
+
+    steps: list[Happened] = field(default_factory=list)
+    tries: list[Try] = field(default_factory=list)
+    kills: list[tuple[str, float]] = field(default_factory=list)  # gateway, Unix seconds
+    faults: list[str] = field(default_factory=list)  # what stand-ins saw that the protocol does not allow
+    doubles: list[str] = field(default_factory=list)  # tokens that ran twice
+    codes: dict[str, int] = field(default_factory=dict)  # exit codes of gateways
+    unsent: int = 0
+    late_start: float = 0.0
+    began: float = 0.0  # Unix seconds
+    uids: dict[str, str] = field(default_factory=dict)  # ids that the wire has, by a node's name
+
+    def count(self) -> dict[str, int]:
+        counted: dict[str, int] = {}
+        for one in self.tries:
+            counted[one.outcome or "open"] = counted.get(one.outcome or "open", 0) + 1
+        return counted
+
+
+def lane(offer: Offer) -> dict[str, Any]:
+    told: dict[str, Any] = {
+        "name": offer.name, "onTime": 400_000, "aimStretch": 1.0, "hardLimit": offer.patience_ms * 1000,
+        "worth": 2.0 if offer.tokened else 1.0, "lateShare": 0.15, "idempotency": "idempotent",
+    }  # fmt: skip
+    if offer.tokened:
+        told |= {"idempotency": "deduplicated", "keyScope": "all", "dedupWindow": int(REMEMBERED * 1e6)}
+    return told
+
+
+def settings(world: World, scenario: Scenario) -> dict[str, Any]:
+    """A gateway's configuration, with the news so far."""
+    events = list(enumerate(world.bulletin.events, 1))
+    gateways = scenario.gateways
+    return {
+        "bulletin": f"{LOOPBACK}:{world.bulletin.port}",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+        "known": wire.known(events, list(world.locations), list(world.models)),
+        "settings": {
+            "balancers": gateways,
+            "kinds": list(world.models),
+            "zones": list(world.locations),
+            "myZone": world.locations[0],
+            "lanes": [lane(offer) for offer in OFFERS],
+            "familyInfo": {
+                "shieldKind": 1,
+                "masterKind": 2,
+                "maxAge": [0] * len(OFFERS),
+                "usableAfter": [0] * len(OFFERS),
+                "passOn": [offer.tokened for offer in OFFERS],
+                "says": "all",
+                "joins": True,
+                "clientKbPerS": 40_000.0,
+                "zoneBalancers": [gateways, 0],
+                "purgeSettles": 1_000_000,
+                "noticeTime": 300_000,
+                "parentStartsAt": 0.1,
+                "upperCold": 6_000_000,
+                "parentBreaksAt": 4.0,
+            },
+            "limits": {
+                "cancel": True,
+                "secondCopies": True,
+                "retryAfter": True,
+                "maxAttempts": 6,
+                "maxOpen": 1000,
+                "connectTimeout": 250_000,
+                "connIdle": 15_000_000,
+                "maxStreams": 32,
+                "maxRetryAfter": 500_000,
+            },
+            "rules": {
+                "startCapacity": 0.3,
+                "warmWithin": 4_000_000,
+                "fallMultiple": 4.0,
+                "tipAfter": 1_000_000,
+                "stopSendingWithin": 1_000_000,
+            },
+            "tick": 2000,
+            "weights": "rough",
+        },
+    }
+
+
+class Play:
+    def __init__(self, scenario: Scenario, folder: Path, records: Path, seed: int) -> None:
+        self.scenario, self.seed = scenario, seed
+        self.chance = random.Random(seed)
+        self.catalogue = Catalogue(OFFERS, seed)
+        shape = Shape(1, scenario.caches, scenario.hubs)
+        self.world = World(shape, Plan(scenario.faults()), seed, self.catalogue.describe, REMEMBERED)
+        names = [f"n{n + 1}" for n in range(scenario.gateways)]
+        self.fleet = Fleet(folder, records, names, scenario.clocks, lambda _: settings(self.world, scenario))
+        self.front = Front(self.fleet.addresses, self.catalogue, self.world.now, seed + 1)
+        self.truth = Truth()
+
+    def rate(self, at: float) -> float:
+        factors = [s.amount for s in self.scenario.steps if s.does == "rate" and s.at <= at < s.end]
+        return self.scenario.rate * (max(factors) if factors else 1.0)
+
+    async def script(self) -> None:
+        """What the script does besides the stand-ins' own faults, each at its time."""
+        async with anyio.create_task_group() as group:
+            for step in self.scenario.steps:
+                group.start_soon(self.step, step)
+
+    async def until(self, at: float) -> None:
+        await anyio.sleep(max(0.0, at - self.world.now()))
+
+    async def step(self, step: Step) -> None:
+        await self.until(step.at)
+        start = time.time()
+        if step.does == "purge":
+            count = max(1, round(step.amount * GROUPS))
+            for group in sorted(self.chance.sample(range(GROUPS), count)):
+                self.world.purge("", group)
+        elif step.does == "drain":
+            self.world.tell_state(step.to, 1)
+            await self.until(step.end)
+            self.world.tell_state(step.to, 0)
+        elif step.does == "kill":
+            self.truth.kills.append((step.to, time.time()))
+            self.fleet.kill(step.to)
+            await self.until(step.end)
+            await self.fleet.start(step.to)
+        else:
+            await self.until(step.end)
+        self.truth.steps.append(Happened(step, start, time.time()))
+
+    async def viewers(self) -> None:
+        most = max([self.rate(0.0), *(self.rate(step.at) for step in self.scenario.steps)])
+        seconds = self.scenario.lasts
+        async with anyio.create_task_group() as group:
+            wishes = arrivals(self.catalogue, self.rate, most, seconds, VIEWERS, self.seed + 2)
+            await self.front.play(wishes, group)
+            await anyio.sleep(TAIL)
+            with anyio.move_on_after(CLOSE):
+                while self.front.open:
+                    await anyio.sleep(0.02)
+            group.cancel_scope.cancel()
+
+    async def run(self, progress: Callable[[Play], None]) -> Truth:
+        world, fleet, front = self.world, self.fleet, self.front
+        await world.open()
+        try:
+            async with anyio.create_task_group() as group:
+                for name in fleet.names:
+                    group.start_soon(fleet.start, name)
+            async with anyio.create_task_group() as group:
+                world.start()
+                self.truth.began = time.time()
+                group.start_soon(world.run)
+                for name in fleet.names:
+                    group.start_soon(front.keep, name)
+                group.start_soon(self.tell, progress)
+                async with anyio.create_task_group() as script:
+                    script.start_soon(self.script)
+                    await self.viewers()
+                front.close()
+                self.truth.codes = await fleet.stop()
+                group.cancel_scope.cancel()
+        finally:
+            fleet.abandon()
+            world.close()
+        truth = self.truth
+        truth.steps.sort(key=lambda one: (one.start, one.step.does))
+        truth.tries, truth.unsent, truth.late_start = front.tries, front.unsent, front.late_start
+        truth.faults = [*world.faults, *front.faults]
+        truth.doubles = world.effects.doubles
+        truth.uids = {node.name: node.uid for node in world.nodes.values()}
+        return truth
+
+    async def tell(self, progress: Callable[[Play], None]) -> None:
+        while True:
+            progress(self)
+            await anyio.sleep(1.0)
+
+
+async def play(
+    scenario: Scenario, folder: Path, records: Path, seed: int, progress: Callable[[Play], None]
+) -> Truth:
+    folder.mkdir(parents=True, exist_ok=True)
+    records.mkdir(parents=True, exist_ok=True)
+    return await Play(scenario, folder, records, seed).run(progress)
--- a/damsonstream/incident/accounting.py
+++ b/damsonstream/incident/accounting.py
@@ -87,6 +87,10 @@
     verdicts: Counter[str] = field(default_factory=Counter)
     turned: Counter[str] = field(default_factory=Counter)  # answered as they came, by reason
 
+    @property
+    def gateway_boot(self) -> tuple[str, int]:
+        return self.gateway, self.number
+
 
 class Ledger:
     def __init__(self, gateway: str, listener: Listener) -> None:
--- a/damsonstream/records/store.py
+++ b/damsonstream/records/store.py
@@ -25,7 +25,8 @@
 class Problem:
     """Something missing or unusable, where it was found."""
 
-    kind: str  # lost, torn, flipped, missing, removed, unreadable, unknown, no-segment or newer
+    # lost, doubled, torn, flipped, missing, removed, unreadable, unknown, no-segment or newer
+    kind: str
     boot: int
     segment: int
     at: int  # byte in the segment
@@ -91,9 +92,11 @@
         if boot != self.boot:
             self.boot, self.next = boot, first if number != 1 else 0
 
-    def came(self, seq: int, record: model.AnyRecord) -> int:
-        """Records missing before this one that nothing explains."""
+    def came(self, seq: int, record: model.AnyRecord | None) -> int:
+        """Records missing before this one that nothing explains; -1: it is there twice."""
         missing = seq - self.next
+        if missing < 0:
+            return -1
         self.next = seq + 1
         if isinstance(record, model.Dropped):
             return max(0, missing - record.count)
@@ -107,7 +110,8 @@
         self.folder, self.most = folder, most
         self.bytes = 0  # read so far
 
-    def read(self) -> Iterator[Item | Problem]:
+    def read(self, wanted: frozenset[int] = frozenset()) -> Iterator[Item | Problem]:
+        """`wanted`: the kinds that are decoded, by `tags()`; empty: all."""
         listed, numbers_seen = files(self.folder), Sequence()
         last: File | None = None
         for file in listed:
@@ -117,9 +121,11 @@
             elif file.segment != 1 and (last is None or file.boot != last.boot):
                 yield Problem("removed", file.boot, 1, 0, -1, f"{file.segment - 1} segments, by age or size")
             last = file
-            yield from self.one(file, numbers_seen, file is listed[-1])
+            yield from self.one(file, numbers_seen, file is listed[-1], wanted)
 
-    def one(self, file: File, seen: Sequence, newest: bool) -> Iterator[Item | Problem]:
+    def one(
+        self, file: File, seen: Sequence, newest: bool, wanted: frozenset[int]
+    ) -> Iterator[Item | Problem]:
         place = (file.boot, file.segment)
         try:
             with file.path.open("rb") as stream:
@@ -138,16 +144,25 @@
                 return  # just begun, or cut off with nothing in it
             yield Problem("no-segment", *place, 0, -1, str(fault))
             # frames tell their own numbers: what is whole behind a spoilt head is still used
-            yield from items(data, 0, place, seen, newest)
+            yield from items(data, 0, place, seen, newest, wanted)
             return
         if head.version > segment.VERSION:
             yield Problem("newer", *place, 0, -1, f"version {head.version}")
         seen.begin(file.boot, file.segment, head.first)
-        yield from items(data, head.size, place, seen, newest)
+        yield from items(data, head.size, place, seen, newest, wanted)
+
+
+def tags(*kinds: type) -> frozenset[int]:
+    return frozenset(kind.__struct_config__.tag for kind in kinds)  # type: ignore[attr-defined]
 
 
 def items(
-    data: bytes, at: int, place: tuple[int, int], seen: Sequence, newest: bool
+    data: bytes,
+    at: int,
+    place: tuple[int, int],
+    seen: Sequence,
+    newest: bool,
+    wanted: frozenset[int] = frozenset(),
 ) -> Iterator[Item | Problem]:
     """Records and problems in the bytes of a segment."""
     boot = place[0]
@@ -160,6 +175,11 @@
             elif part.size:
                 yield Problem("torn", *place, part.at, -1, f"{part.size} bytes")
             continue
+        # a record is an array of under sixteen fields, the first of which is its kind, under 128
+        if wanted and len(part.payload) > 1 and part.payload[1] not in wanted:
+            if missing := seen.came(part.seq, None):
+                yield absent(missing, place, part.after)
+            continue
         try:
             record = model.decode(part.payload)
         except (model.Unknown, model.Unreadable) as fault:
@@ -168,10 +188,16 @@
             yield Problem(kind, *place, part.after, 1, str(fault)[:200])
             continue
         if missing := seen.came(part.seq, record):
-            yield Problem("lost", *place, part.after, missing)
+            yield absent(missing, place, part.after)
+            if missing < 0:
+                continue
         yield Item(boot, part.seq, record)
 
 
+def absent(missing: int, place: tuple[int, int], at: int) -> Problem:
+    return Problem("lost" if missing > 0 else "doubled", *place, at, missing if missing > 0 else 0)
+
+
 class Follower:
     """What is new in one gateway's segments, each time it is asked; a half-written end waits for the rest."""
 
--- /dev/null
+++ b/damsonstream/report/charts.py
@@ -0,0 +1,270 @@
+"""Charts of an incident, as SVG that stands inside a page. No files.
+
+How it is called: each function takes an `Incident` and returns SVG text. Drawn by matplotlib; times are
+seconds since the incident's start. Text stays text, so that a page can be searched and printed.
+"""
+
+from __future__ import annotations
+
+import io
+from collections.abc import Iterable
+from typing import Any
+
+import matplotlib
+
+from damsonstream.incident.gather import Incident
+from damsonstream.incident.phases import Phase
+from damsonstream.incident.words import plain
+
+matplotlib.use("svg")
+matplotlib.rcParams.update(
+    {
+        "svg.fonttype": "none",
+        "svg.hashsalt": "damsonstream",
+        "text.parse_math": False,
+        "font.family": "sans-serif",
+        "font.sans-serif": ["Inter", "Segoe UI", "Helvetica Neue", "Arial", "DejaVu Sans", "sans-serif"],
+        "font.size": 9.5,
+        "axes.spines.top": False,
+        "axes.spines.right": False,
+        "axes.edgecolor": "#9aa3ad",
+        "axes.labelcolor": "#3d4752",
+        "xtick.color": "#3d4752",
+        "ytick.color": "#3d4752",
+        "axes.axisbelow": True,
+        "axes.grid": True,
+        "grid.color": "#e6e9ed",
+        "legend.frameon": False,
+    }
+)
+from matplotlib.figure import Figure  # noqa: E402  (the backend is chosen first)
+
+S = 10_000
+WIDE = 10.4  # inches
+COLOURS = {
+    "purge": "#7b5ea7",
+    "slow-source": "#e9a03b",
+    "failing": "#c8553d",
+    "open": "#b33951",
+    "half-open": "#e3a5b0",
+    "overload": "#f2843c",
+    "restart": "#3d4752",
+    "gap": "#8d99ae",
+    "recovery": "#4f9d69",
+}
+OUTCOMES = (
+    ("in time", "#3c8d9e"),
+    ("late", "#e9c46a"),
+    ("shed", "#f2843c"),
+    ("errored", "#b33951"),
+    ("left", "#8d99ae"),
+)
+LINES = ("#3c8d9e", "#7b5ea7", "#e9a03b", "#c8553d", "#4f9d69", "#3d4752")
+MOST_ROWS = 24  # of a timeline: more can't be read
+DASHES = ((), (4, 2), (1, 1.5))
+
+
+def figure(high: float) -> tuple[Figure, Any]:
+    whole = Figure(figsize=(WIDE, high), layout="constrained")
+    return whole, whole.subplots()
+
+
+def svg(whole: Figure, title: str) -> str:
+    out = io.StringIO()
+    whole.savefig(out, format="svg", metadata={"Date": None, "Creator": None, "Title": plain(title)})
+    text = out.getvalue()
+    return text[text.index("<svg") :]
+
+
+def since(incident: Incident) -> Any:
+    start = incident.span[0]
+    return lambda at: (at - start) / S
+
+
+def axis(incident: Incident, axes: Any) -> None:
+    start, end = incident.span
+    axes.set_xlim(0, max(1.0, (end - start) / S))
+    axes.set_xlabel("seconds since the start")
+
+
+def timeline(incident: Incident) -> str:
+    """Phases as bars, gateways as rows with their gaps in plain sight."""
+    at = since(incident)
+    rows: list[tuple[str, list[Phase]]] = []
+    for phase in incident.phases:
+        if phase.kind in ("gap", "restart"):
+            continue
+        label = f"{phase.kind}: {plain(phase.subject, 34)}" if phase.subject != "fleet" else phase.kind
+        mine = next((found for name, found in rows if name == label), None)
+        if mine is None:
+            rows.append((label, [phase]))
+        else:
+            mine.append(phase)
+    hidden = max(0, len(rows) - MOST_ROWS)
+    rows = rows[:MOST_ROWS]
+    gateways = sorted({boot.gateway for boot in incident.boots})[:MOST_ROWS]
+    whole, axes = figure(0.9 + 0.3 * (len(rows) + len(gateways)))
+    least = max(
+        0.15, (incident.span[1] - incident.span[0]) / S / 300
+    )  # what is at one instant can be seen too
+    labels = []
+    for row, (label, phases) in enumerate(rows):
+        labels.append(label)
+        for phase in phases:
+            long = max(least, at(phase.end) - at(phase.start))
+            axes.barh(row, long, left=at(phase.start), height=0.62, color=COLOURS[phase.kind],
+                      hatch="//" if phase.open else None, edgecolor="white", linewidth=0.5)  # fmt: skip
+    for place, name in enumerate(gateways):
+        row = len(rows) + place
+        labels.append(f"gateway {plain(name, 34)}")
+        for boot in incident.boots:
+            if boot.gateway != name or not boot.records:
+                continue
+            start, end = (at(incident.clocks.fleet(boot.gateway_boot, t)) for t in (boot.first, boot.last))
+            axes.barh(row, max(least, end - start), left=start, height=0.4, color="#a9c7b2")
+            axes.text(start + least, row, f"boot {boot.number}", va="center", fontsize=7.5, color="#274233")
+        for phase in incident.phases:
+            if phase.kind in ("gap", "restart") and phase.subject == f"gateway {name}":
+                long = max(least, at(phase.end) - at(phase.start))
+                axes.barh(row, long, left=at(phase.start), height=0.62, facecolor="white", hatch="xxx",
+                          edgecolor="#b33951", linewidth=0.8)  # fmt: skip
+    axes.set_yticks(range(len(labels)), labels)
+    axes.set_ylim(len(labels) - 0.4, -0.6)
+    axes.grid(axis="y", visible=False)
+    axis(incident, axes)
+    if hidden:
+        axes.set_title(f"{hidden} more rows are in the table", fontsize=8.5, loc="right")
+    return svg(whole, "Phases and gateways over time")
+
+
+def rates(incident: Incident) -> str:
+    """GETs a second by outcome, stacked."""
+    watch, at = incident.watch, since(incident)
+    names, width = ("", *watch.services), watch.rates.width / S
+    sums: dict[str, list[float]] = {}
+    times: list[float] = []
+    for outcome in ("returned", "late", "shed", "errored", "left"):
+        series = [watch.rates.series((outcome, name)) for name in names]
+        times = [at(t) for t, _ in series[0]]
+        sums[outcome] = [
+            sum(values) / width for values in zip(*([v for _, v in one] for one in series), strict=True)
+        ]
+    sums["in time"] = [a - b for a, b in zip(sums["returned"], sums["late"], strict=True)]
+    whole, axes = figure(2.7)
+    if times:
+        stacked = [sums[name] for name, _ in OUTCOMES]
+        axes.stackplot([t + width / 2 for t in times], *stacked, labels=[name for name, _ in OUTCOMES],
+                       colors=[colour for _, colour in OUTCOMES], linewidth=0)  # fmt: skip
+    axes.set_ylabel("GETs a second")
+    axes.set_ylim(bottom=0)
+    axis(incident, axes)
+    axes.legend(loc="upper center", bbox_to_anchor=(0.5, 1.16), ncols=5, fontsize=8.5)
+    shade(incident, axes)
+    return svg(whole, "GETs a second by outcome")
+
+
+def shade(incident: Incident, axes: Any) -> None:
+    """Where a gateway's records are missing, a chart has less than there was."""
+    at = since(incident)
+    for phase in incident.phases:
+        if phase.kind in ("gap", "restart"):
+            axes.axvspan(at(phase.start), at(phase.end), facecolor="none", hatch="xxx", edgecolor="#d9a1ab",
+                         linewidth=0)  # fmt: skip
+
+
+def latency(incident: Incident) -> str:
+    """Median and 95th percentile of returned GETs, by delivery service."""
+    watch, at = incident.watch, since(incident)
+    whole, axes = figure(2.7)
+    for place, name in enumerate(list(watch.services)[: len(LINES)]):
+        for share, style in ((0.5, "-"), (0.95, ":")):
+            points = list(watch.latencies.series(name, share))
+            if points:
+                axes.plot([at(t) for t, _ in points], [v for _, v in points], style, color=LINES[place],
+                          linewidth=1.6 if style == "-" else 1.3,
+                          label=f"{plain(name, 24)} {'median' if style == '-' else '95%'}")  # fmt: skip
+    axes.set_yscale("log")
+    axes.yaxis.set_major_formatter(lambda value, _: f"{value:g}")
+    axes.set_ylabel("milliseconds")
+    axis(incident, axes)
+    shade(incident, axes)
+    if axes.lines:
+        axes.legend(loc="upper center", bbox_to_anchor=(0.5, 1.26), ncols=3, fontsize=8)
+    return svg(whole, "Time to the final answer")
+
+
+def sources(incident: Incident) -> str:
+    """First bytes of fills by source, median."""
+    watch, at = incident.watch, since(incident)
+    whole, axes = figure(2.5)
+    for place, node in enumerate(sorted(watch.sources.whole)[: len(LINES)]):
+        points = list(watch.sources.series(node, 0.5))
+        axes.plot(
+            [at(t) for t, _ in points],
+            [v for _, v in points],
+            color=LINES[place],
+            linewidth=1.4,
+            marker=".",
+            markersize=3,
+            label=f"{watch.roles.get(node, '')} {plain(node, 24)}",
+        )
+    axes.set_yscale("log")
+    axes.yaxis.set_major_formatter(lambda value, _: f"{value:g}")
+    axes.set_ylabel("first byte, ms")
+    axis(incident, axes)
+    if axes.lines:
+        axes.legend(loc="upper center", bbox_to_anchor=(0.5, 1.18), ncols=4, fontsize=8)
+    return svg(whole, "First bytes of fills by source")
+
+
+def breakers(incident: Incident) -> str:
+    """States of breakers that ever changed, a row for each gateway and node."""
+    watch, at = incident.watch, since(incident)
+    ends = {b.gateway_boot: incident.clocks.fleet(b.gateway_boot, b.last) for b in incident.boots}
+    rows: dict[tuple[str, int, str], list[Any]] = {}
+    for turn in sorted(watch.turns, key=lambda turn: turn.at):
+        rows.setdefault((turn.gateway, turn.boot, turn.record.node), []).append(turn)
+    shown = sorted(rows)[:MOST_ROWS]
+    whole, axes = figure(0.9 + 0.26 * max(1, len(shown)))
+    for row, key in enumerate(shown):
+        turns = rows[key]
+        for turn, following in zip(turns, [*turns[1:], None], strict=True):
+            if turn.record.state == "Closed":
+                continue
+            end = following.at if following else ends.get(key[:2], turn.at)
+            axes.barh(row, max(0.1, at(end) - at(turn.at)), left=at(turn.at), height=0.6,
+                      color=COLOURS["open" if turn.record.state == "Open" else "half-open"])  # fmt: skip
+    labels = [f"{plain(g, 16)}: {watch.roles.get(node, '')} {plain(node, 24)}" for g, _, node in shown]
+    axes.set_yticks(range(len(labels)), labels)
+    axes.set_ylim(max(1, len(labels)) - 0.4, -0.6)
+    axes.grid(axis="y", visible=False)
+    axis(incident, axes)
+    return svg(whole, "Breakers that opened")
+
+
+def all_charts(incident: Incident) -> dict[str, str]:
+    drawn: dict[str, str] = {
+        "timeline": timeline(incident),
+        "rates": rates(incident),
+        "latency": latency(incident),
+    }
+    if incident.watch.sources.whole:
+        drawn["sources"] = sources(incident)
+    if incident.watch.turns:
+        drawn["breakers"] = breakers(incident)
+    return {name: own_ids(text, name) for name, text in drawn.items()}
+
+
+def own_ids(text: str, name: str) -> str:
+    """Ids of several charts on one page must differ."""
+    for before, after in (
+        ('id="', f'id="{name}-'),
+        ('href="#', f'href="#{name}-'),
+        ("url(#", f"url(#{name}-"),
+    ):
+        text = text.replace(before, after)
+    return text
+
+
+def kinds(phases: Iterable[Phase]) -> list[tuple[str, str]]:
+    return [(kind, colour) for kind, colour in COLOURS.items() if any(phase.kind == kind for phase in phases)]
--- a/damsonstream/standins/clients.py
+++ b/damsonstream/standins/clients.py
@@ -165,7 +165,7 @@
         """One viewer's wish: a GET, and further ones where it is shed or lost."""
         self.open += 1
         try:
-            until = arrival.at + arrival.offer.patience_ms / 1000
+            until = max(arrival.at, self.now()) + arrival.offer.patience_ms / 1000
             for further in range(FURTHER + 1):
                 left = until - self.now()
                 if left <= 0.05:
@@ -197,10 +197,13 @@
         id = link.id()
         link.open[id] = waiting
         fields = {
-            "SCRIPT_NAME": f"/v1/{arrival.offer.name}", "HTTP_X_TXN": ident, "HTTP_X_ROW": arrival.thing,
-            "HTTP_X_TTL_MS": str(max(1, int(left * 1000))), "HTTP_X_SLICE": str(arrival.part),
+            "SCRIPT_NAME": f"/v1/{arrival.offer.name}",
+            "HTTP_X_TXN": ident,
+            "HTTP_X_ROW": arrival.thing,
+            "HTTP_X_TTL_MS": str(max(1, min(arrival.offer.patience_ms, int(left * 1000)))),
+            "HTTP_X_SLICE": str(arrival.part),
             "HTTP_X_SET": str(self.catalogue.group(arrival.thing)),
-        }  # fmt: skip
+        }
         if arrival.token:
             fields["HTTP_X_TXN_KEY"] = arrival.token
         if further:
--- a/damsonstream/standins/servers.py
+++ b/damsonstream/standins/servers.py
@@ -293,13 +293,16 @@
     async def effect(self, token: str, fields: dict[str, str]) -> tuple[str, dict[str, str], bytes]:
         """A GET that changes something: it runs at the vault, once for each token."""
         world, began = self.node.world, self.node.world.now()
-        condition = world.vault.condition()
+        condition, source = world.vault.condition(), world.by_uid.get(fields.get("fetch", ""), world.vault)
+        if source.condition().down:
+            return "crashed", {"res": "src_broke"}, b""
         if condition.down:
             return "crashed", {"res": "origin_failed"}, b""
         await anyio.sleep(FETCH["vault"] + condition.delay)
         world.effects.run(token, world.now())
         waited = (world.now() - began) * 1000
-        return "served", {"res": "filled", "took": f"{waited:.0f}", "stamp": str(world.unix_ms())}, b"done"
+        note = "filled" if source is world.vault else "via_origin"
+        return "served", {"res": note, "took": f"{waited:.0f}", "stamp": str(world.unix_ms())}, b"done"
 
 
 class Bulletin:
