--- /dev/null
+++ b/damsonstream/console/app.py
@@ -0,0 +1,257 @@
+"""The console on a terminal, on textual: live, or at any time of what is recorded.
+
+How it is called: `Console(following, live)` is a textual app; `run()` or `run_async()` shows it. What it
+shows comes from `history.py`, in the words of `text.py`; nothing is reckoned here.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import ClassVar
+
+from rich.text import Text
+from textual import work
+from textual.app import App, ComposeResult
+from textual.binding import Binding, BindingType
+from textual.containers import Vertical, VerticalScroll
+from textual.screen import ModalScreen
+from textual.widgets import DataTable, Footer, Input, Static
+
+from damsonstream.console import text
+from damsonstream.console.follow import Following
+from damsonstream.console.history import S, View
+from damsonstream.incident.words import plain
+
+EACH = 0.5  # seconds between looks at the records
+COLOURS = {
+    "Open": "bold red",
+    "Half-Open": "yellow",
+    "leaving": "yellow",
+    "left": "dim",
+    "ended": "dim",
+    "up": "green",
+    "active": "",
+}
+
+
+def styled(cell: str) -> Text:
+    """Words carry the meaning, colour only helps: without colour nothing is lost."""
+    style = "bold red" if cell.startswith("stale") else COLOURS.get(cell, "")
+    return Text(cell, style=style)
+
+
+class Detail(ModalScreen[None]):
+    """One row, looked at closely."""
+
+    BINDINGS: ClassVar[list[BindingType]] = [("escape", "dismiss", "back"), ("q", "dismiss", "back")]
+    CSS = """
+    Detail { align: center middle; }
+    Detail > VerticalScroll { width: 92%; height: 84%; border: round $accent; padding: 0 1; }
+    """
+
+    def __init__(self, lines: list[str]) -> None:
+        super().__init__()
+        self.lines = lines
+
+    def compose(self) -> ComposeResult:
+        with VerticalScroll():
+            yield Static(Text("\n".join(self.lines)))
+
+
+class Rows(DataTable[Text], inherit_bindings=False):
+    """A table whose keys leave those that step through time to the console."""
+
+    BINDINGS: ClassVar[list[BindingType]] = [
+        Binding("enter", "select_cursor", "look closer", show=True),
+        Binding("up", "cursor_up", show=False),
+        Binding("down", "cursor_down", show=False),
+        Binding("pageup", "page_up", show=False),
+        Binding("pagedown", "page_down", show=False),
+    ]
+
+
+class Console(App[None]):
+    TITLE = "damsonstream"
+    CSS = """
+    #title { height: 1; padding: 0 1; background: $primary; color: $text; text-style: bold; }
+    #title.stale { background: $error; }
+    DataTable { height: auto; max-height: 9; padding: 0 0; }
+    #nodes { max-height: 8; }
+    #events { height: 1fr; min-height: 3; padding: 0 1; border-top: solid $accent; }
+    #filter { display: none; height: 3; }
+    #filter.shown { display: block; }
+    """
+    BINDINGS: ClassVar[list[BindingType]] = [
+        ("space", "pause", "pause"),
+        Binding("left", "step(-1)", "-1 s", key_display="<-"),
+        Binding("right", "step(1)", "+1 s", key_display="->"),
+        Binding("comma", "step(-10)", "-10 s", show=False),
+        Binding("full_stop", "step(10)", "+10 s", show=False),
+        Binding("home", "edge(0)", "start"),
+        Binding("end", "edge(1)", "end"),
+        ("slash", "filter", "filter"),
+        ("q", "quit", "quit"),
+    ]
+
+    def __init__(
+        self, following: Following, live: bool, background: Callable[[], Awaitable[None]] | None = None
+    ) -> None:
+        super().__init__()
+        self.following, self.live, self.background = following, live, background
+        self.paused = not live
+        self.at = 0  # where it stands while it is paused, 0: at the end
+        self.wanted = ""  # filter
+        self.last_view: View | None = None
+
+    def compose(self) -> ComposeResult:
+        yield Static("", id="title", markup=False)
+        with Vertical():
+            for name, head in (
+                ("gateways", text.GATEWAYS),
+                ("nodes", text.NODES),
+                ("services", text.SERVICES),
+            ):
+                table = Rows(id=name, cursor_type="row", zebra_stripes=False, cell_padding=1)
+                table.add_columns(*head)
+                yield table
+            yield Input(placeholder="only what holds this text; Enter, or Escape for all", id="filter")
+            yield Static("", id="events", markup=False)
+        yield Footer(show_command_palette=False)
+
+    def on_mount(self) -> None:
+        self.set_interval(EACH, self.look)
+        self.look()
+        self.query_one("#gateways").focus()
+        if self.background is not None:
+            self.work_behind()
+
+    @work
+    async def work_behind(self) -> None:
+        assert self.background is not None
+        await self.background()
+        self.exit()
+
+    def look(self) -> None:
+        self.following.poll()
+        self.show()
+
+    def now(self) -> int:
+        start, end = self.following.history.span()
+        if self.paused and self.at:
+            return min(max(self.at, start), end)
+        return end
+
+    def show(self) -> None:
+        history = self.following.history
+        start, _ = history.span()
+        seen = self.following.silent() if self.live and not (self.paused and self.at) else None
+        view = self.last_view = history.view(self.now(), seen)
+        mode = "LIVE" if self.live and not self.paused else "PAUSED" if self.live else "RECORDED"
+        title = self.query_one("#title", Static)
+        title.update(text.title(view, start, mode))
+        title.set_class(view.worst == "stale", "stale")
+        self.fill("gateways", [text.gateway(row) for row in view.gateways])
+        nodes = sorted(view.nodes, key=lambda row: (row.worst == "Closed", row.bad == 0))
+        self.fill("nodes", [text.node(row) for row in nodes])
+        self.fill("services", [text.service(row) for row in view.services])
+        shown = [text.event(at, one) for at, one in view.events if self.holds(one.text + one.gateway)]
+        events = self.query_one("#events", Static)
+        wide = max(20, events.size.width - 1)
+        latest = [told[:wide] for told in shown[-max(3, events.size.height) :]]
+        events.update(Text("\n".join(latest) or "no events", no_wrap=True))
+
+    def holds(self, told: str) -> bool:
+        return self.wanted.lower() in told.lower()
+
+    def fill(self, name: str, rows: list[tuple[str, ...]]) -> None:
+        """Cells that stay are left alone: a cursor must not jump, nor a slow terminal flicker."""
+        table = self.query_one(f"#{name}", Rows)
+        rows = [row for row in rows if self.holds(" ".join(row))]
+        keys = [row[0] for row in rows]
+        if [key.value for key in table.rows] != keys:
+            kept = table.cursor_row
+            table.clear()
+            for key, row in zip(keys, rows, strict=True):
+                table.add_row(*(styled(cell) for cell in row), key=key)
+            table.move_cursor(row=min(kept, len(rows) - 1) if rows else 0)
+            return
+        for place, row in enumerate(rows):
+            for column, cell in enumerate(row):
+                if str(table.get_cell_at((place, column))) != cell:  # type: ignore[arg-type]
+                    table.update_cell_at((place, column), styled(cell), update_width=True)  # type: ignore[arg-type]
+
+    def action_pause(self) -> None:
+        self.paused = not self.paused if self.live else True
+        self.at = self.now() if self.paused else 0
+        self.show()
+
+    def action_step(self, seconds: int) -> None:
+        self.at, self.paused = self.now() + seconds * S, True
+        self.at = self.now()
+        self.show()
+
+    def action_edge(self, end: int) -> None:
+        self.paused = True
+        self.at = self.following.history.span()[end]
+        if end and self.live:
+            self.paused, self.at = False, 0
+        self.show()
+
+    def action_filter(self) -> None:
+        box = self.query_one("#filter", Input)
+        box.add_class("shown")
+        box.focus()
+
+    def on_input_submitted(self, event: Input.Submitted) -> None:
+        self.wanted = event.value
+        event.input.remove_class("shown")
+        self.query_one("#gateways").focus()
+        self.show()
+
+    def on_key(self, event: object) -> None:
+        if getattr(event, "key", "") == "escape" and self.query_one("#filter").has_class("shown"):
+            box = self.query_one("#filter", Input)
+            box.value = self.wanted = ""
+            box.remove_class("shown")
+            self.query_one("#gateways").focus()
+            self.show()
+
+    def on_data_table_row_selected(self, event: DataTable.RowSelected) -> None:
+        if self.last_view is not None and event.row_key.value is not None:
+            self.push_screen(Detail(self.detail(event.data_table.id or "", event.row_key.value)))
+
+    def detail(self, table: str, name: str) -> list[str]:
+        view = self.last_view
+        assert view is not None
+        lines = [f"{table[:-1]} {name}", ""]
+        if table == "nodes":
+            found = next((row for row in view.nodes if plain(row.name, 14) == name), None)
+            if found is not None:
+                lines += [
+                    f"{found.role}, listed as {found.listed}, {text.number(found.rate)} forwards a second, "
+                    f"{text.share(found.bad)} end badly",
+                    "",
+                ]
+                lines += [f"  breaker at {plain(g)}: {found.states.get(g, 'Closed')}" for g in
+                          sorted(row.name for row in view.gateways)]  # fmt: skip
+            mine = [pair for pair in view.events if plain(pair[1].node, 14) == name]
+        elif table == "gateways":
+            row = next((row for row in view.gateways if plain(row.name, 14) == name), None)
+            if row is not None:
+                lines += [
+                    f"boot {row.boot}, {row.state}, wrote {row.age:.1f} s ago, {row.gaps} records missing",
+                    "",
+                ]
+                lines += [
+                    f"  {n.role} {plain(n.name)}: {n.states[row.name]}"
+                    for n in view.nodes
+                    if row.name in n.states
+                ]
+            mine = [pair for pair in view.events if plain(pair[1].gateway, 14) == name]
+        else:
+            mine = []
+        return (
+            [*lines, "", *(text.event(at, one) for at, one in mine[-40:])]
+            if mine
+            else [*lines, "", "no events"]
+        )
--- /dev/null
+++ b/damsonstream/console/text.py
@@ -0,0 +1,110 @@
+"""A view as plain lines, for 80 columns, without colour: what `--once` prints. No I/O.
+
+How it is called: `lines(view, start, columns)`; the app uses `cells` for its own tables, so that both say the
+same.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from datetime import UTC, datetime
+
+from damsonstream.console.history import Event, GatewayRow, NodeRow, ServiceRow, View
+from damsonstream.incident.words import plain
+
+S = 10_000
+GATEWAYS = ("gateway", "boot", "state", "GET/s", "in time", "shed/s", "err/s", "open", "CPU", "MB", "gaps")
+NODES = ("node", "role", "listed", "breaker", "GET/s", "bad", "at")
+SERVICES = ("delivery service", "GET/s", "in time", "late/s", "shed/s", "err/s")
+
+
+def clock(at: int) -> str:
+    return datetime.fromtimestamp(at / S, UTC).strftime("%H:%M:%S")
+
+
+def share(value: float) -> str:
+    return "-" if value < 0 else f"{100 * value:.0f}%"
+
+
+def number(value: float) -> str:
+    return f"{value:.0f}" if value >= 10 or not value else f"{value:.1f}"
+
+
+def gateway(row: GatewayRow) -> tuple[str, ...]:
+    """A stale one shows how long it has been, and none of the rates that it may no longer have."""
+    state = f"stale {row.age:.0f}s" if row.state == "stale" else row.state
+    if row.state != "up":
+        return (plain(row.name, 14), str(row.boot or "-"), state, *["-"] * 7, str(row.gaps or ""))
+    return (
+        plain(row.name, 14),
+        str(row.boot),
+        state,
+        number(row.rate),
+        share(row.in_time),
+        number(row.shed),
+        number(row.errored),
+        str(row.open),
+        f"{100 * row.cpu:.0f}%",
+        f"{row.rss:.0f}",
+        str(row.gaps or ""),
+    )
+
+
+def node(row: NodeRow) -> tuple[str, ...]:
+    at = ",".join(
+        plain(name, 8) for name, state in sorted(row.states.items()) if state == row.worst != "Closed"
+    )
+    return (plain(row.name, 14), row.role, row.listed, row.worst, number(row.rate), share(row.bad), at[:18])
+
+
+def service(row: ServiceRow) -> tuple[str, ...]:
+    return (
+        row.name,
+        number(row.rate),
+        share(row.in_time),
+        number(row.late),
+        number(row.shed),
+        number(row.errored),
+    )
+
+
+def event(at: int, one: Event) -> str:
+    return f"{clock(at)} {plain(one.gateway, 10)} {plain(one.text, 200)}"
+
+
+def table(head: Sequence[str], rows: Sequence[Sequence[str]], columns: int) -> list[str]:
+    widths = [max(len(cell) for cell in column) for column in zip(head, *rows, strict=True)]
+    made = []
+    for place, row in enumerate((head, *rows)):
+        cells = [
+            c.ljust(w) if n == 0 or not numeric(head[n]) else c.rjust(w)
+            for n, (c, w) in enumerate(zip(row, widths, strict=True))
+        ]
+        made.append("  ".join(cells).rstrip()[:columns])
+        if place == 0:
+            made.append("-" * min(columns, sum(widths) + 2 * len(widths) - 2))
+    return made
+
+
+def numeric(name: str) -> bool:
+    return name.endswith("/s") or name in ("in time", "open", "CPU", "MB", "gaps", "boot", "bad", "late")
+
+
+def title(view: View, start: int, mode: str) -> str:
+    up = sum(row.state == "up" for row in view.gateways)
+    rate = sum(row.rate for row in view.gateways if row.state == "up")
+    return (
+        f"{clock(view.at)} UTC (+{max(0, view.at - start) / S:.0f} s)  {mode}  fleet {view.worst}  "
+        f"{up} of {len(view.gateways)} gateways up  {number(rate)} GET/s"
+    )
+
+
+def lines(view: View, start: int, columns: int = 80, mode: str = "once", events: int = 8) -> list[str]:
+    made = [title(view, start, mode)[:columns], ""]
+    made += [*table(GATEWAYS, [gateway(row) for row in view.gateways], columns), ""]
+    nodes = sorted(view.nodes, key=lambda row: (row.worst == "Closed", row.bad == 0))[:16]
+    made += [*table(NODES, [node(row) for row in nodes], columns), ""]
+    if view.services:
+        made += [*table(SERVICES, [service(row) for row in view.services], columns), ""]
+    made += [event(at, one)[:columns] for at, one in view.events[-events:]] or ["no events"]
+    return made
--- a/damsonstream/demo/check.py
+++ b/damsonstream/demo/check.py
@@ -19,10 +19,11 @@
 TORN = 0.5
 # What a step of the script must show up as.
 SHOWN = {
-    "purge": ("purge",), "slow": ("slow-source",), "kill": ("restart",), "crash": ("failing", "open"),
+    "purge": ("purge",),
+    "drain": ("drain",), "slow": ("slow-source",), "kill": ("restart",), "crash": ("failing", "open"),
     "hang": ("failing", "open", "slow-source"), "fail": ("failing",), "shed": ("failing", "open"),
 }  # fmt: skip
-ENDS = ("slow", "kill")  # whose end must be told as well: others end unseen behind an Open breaker
+ENDS = ("slow", "kill", "drain")  # whose end must be told as well: others end unseen behind an Open breaker
 
 
 @dataclass(slots=True)
@@ -95,7 +96,7 @@
             wrong.append(f"{what} at {step.at:.1f} s is shown by no phase")
             continue
         best = min(mine, key=lambda p: abs(p["start"] - happened.start))
-        limit = NEAR if step.does in ("purge", "slow", "kill") else 3 * NEAR
+        limit = NEAR if step.does in ("purge", "slow", "kill", "drain") else 3 * NEAR
         off = best["start"] - happened.start
         if abs(off) > limit:
             wrong.append(f"{what} began at {step.at:.1f} s, its phase {abs(off):.2f} s "
--- a/damsonstream/demo/verdict.py
+++ b/damsonstream/demo/verdict.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from damsonstream.demo.check import Recorded
-from damsonstream.incident.accounting import Get, Ledger, Leg
+from damsonstream.incident.accounting import Get, Ledger, Leg, Stray
 from damsonstream.records import model, store
 
 
@@ -42,7 +42,7 @@
     def over(self, get: Get, verdict: str) -> None:
         self.of(get.gateway, get.taken.ident).verdict = verdict
 
-    def stray(self, gateway: str, boot: int, record: model.Taken | model.Answered) -> None:
+    def stray(self, gateway: str, boot: int, record: Stray) -> None:
         ident = self.idents.get((gateway, boot, record.get), f"number {record.get}")
         if isinstance(record, model.Answered):
             self.of(gateway, ident).answers.append(record.outcome)
--- a/damsonstream/incident/accounting.py
+++ b/damsonstream/incident/accounting.py
@@ -61,6 +61,9 @@
         return any(leg.came is None for leg in self.legs.values())
 
 
+Stray = model.Taken | model.Answered | model.Sent  # what belongs to no GET that is open
+
+
 class Listener(Protocol):
     """Who is told of GETs as the records are gone through."""
 
@@ -69,7 +72,7 @@
     def came(self, get: Get, leg: Leg) -> None: ...
     def answered(self, get: Get) -> None: ...
     def over(self, get: Get, verdict: str) -> None: ...
-    def stray(self, gateway: str, boot: int, record: model.Taken | model.Answered) -> None: ...
+    def stray(self, gateway: str, boot: int, record: Stray) -> None: ...
 
 
 @dataclass(slots=True)
@@ -120,6 +123,8 @@
                 get.legs[record.leg] = Leg(record.leg, record)
                 self.note(get, record)
                 self.listener.sent(get, record)
+            elif self.state(record.get) in (ANSWERED, TWICE, LEFT):
+                self.listener.stray(self.gateway, boot.number, record)
         elif isinstance(record, model.Came):
             self.came(record)
         elif isinstance(record, model.Taken):
--- a/damsonstream/incident/clocks.py
+++ b/damsonstream/incident/clocks.py
@@ -162,14 +162,11 @@
     def local(boot: Boot, at: int) -> float:
         return at - offset[boot] - drift[boot] * (at - starts[boot])
 
-    first = min(group, key=lambda boot: (-len(by_boot[boot]), boot))
     when = [0.0] * len(mine)
     for turn in range(ROUNDS):
         for place, boots in enumerate(mine):
             when[place] = median(local(boot, at) for boot, at in boots.items())
         for boot, seen in by_boot.items():
-            if boot == first:
-                continue  # the others are told by it; the gauge comes later
             left = [(at, local(boot, at) - when[place]) for place, at in seen]
             offset[boot] += median(y for _, y in left)
             span = max(at for at, _ in left) - min(at for at, _ in left)
--- a/damsonstream/incident/gather.py
+++ b/damsonstream/incident/gather.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from typing import Any
 
-from damsonstream.incident.accounting import BROKEN, GOOD, Boot, Get, Ledger, Leg, total
+from damsonstream.incident.accounting import BROKEN, GOOD, Boot, Get, Ledger, Leg, Stray, total
 from damsonstream.incident.clocks import Clocks, Sighting, Told, align, steps
 from damsonstream.incident.phases import Phase, Watch
 from damsonstream.incident.rules import Finding, Rules
@@ -156,7 +156,7 @@
         self.rules.over(get, verdict)
         self.tales.over(get, verdict)
 
-    def stray(self, gateway: str, boot: int, record: model.Taken | model.Answered) -> None:
+    def stray(self, gateway: str, boot: int, record: Stray) -> None:
         self.rules.stray(gateway, boot, record)
 
 
--- a/damsonstream/incident/phases.py
+++ b/damsonstream/incident/phases.py
@@ -4,7 +4,7 @@
 of gateways; `phases(boots)` then gives the phases by their start, in fleet time, each with its evidence and
 with what it cost. Times are tenths of a millisecond.
 
-A phase is one of: purge, slow-source, failing, open, half-open, overload, restart, gap, recovery.
+A phase is one of: purge, drain, slow-source, failing, open, half-open, overload, restart, gap, recovery.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 from statistics import median
 
-from damsonstream.incident.accounting import Boot, Get, Leg
+from damsonstream.incident.accounting import Boot, Get, Leg, Stray
 from damsonstream.incident.clocks import Clocks
 from damsonstream.incident.rates import Latencies, Rates
 from damsonstream.records import model
@@ -167,7 +167,7 @@
         self.failing: dict[tuple[str, str], Trouble] = defaultdict(Trouble)
         self.turns: list[Turn] = []
         self.purges: list[tuple[int, str, model.Purge]] = []  # when told in fleet time, gateway
-        self.news: list[tuple[int, str, str]] = []  # list changes: when, gateway, words
+        self.news: list[tuple[int, str, str, str]] = []  # changes of the list: when, gateway, node, state
         self.roles: dict[str, str] = {}
         self.services: dict[str, model.Service] = {}
         self.names: dict[tuple[str, int], list[str]] = {}  # of a boot's services, by place
@@ -209,7 +209,7 @@
             if role == "origin":
                 self.origin = line.cache
             if not record.whole:
-                self.news.append((at, gateway, f"{line.cache} {line.state}"))
+                self.news.append((at, gateway, line.cache, line.state))
 
     def taken(self, gateway: str, boot: int, record: model.Taken) -> None:
         self.rates.add(self.at(gateway, boot, record.at), ("taken", self.name(gateway, boot, record.service)))
@@ -272,7 +272,7 @@
             self.rates.add(at, ("left", get.service.name))
             self.rates.add(at, ("due", get.service.name), get.service.revenue)
 
-    def stray(self, gateway: str, boot: int, record: model.Taken | model.Answered) -> None:
+    def stray(self, gateway: str, boot: int, record: Stray) -> None:
         pass  # rules tell of it
 
     # what follows
@@ -290,6 +290,7 @@
         boots = list(boots)
         found = [
             *self.purged(),
+            *self.drains(),
             *self.slow(),
             *self.failed(),
             *self.breakers(boots),
@@ -339,6 +340,32 @@
                     f"the same purge reached gateways within {apart / MS:.0f} ms of each other"]  # fmt: skip
         return Phase("purge", " and ".join(parts), cluster[0][0], cluster[-1][0], evidence, gateways)
 
+    def drains(self) -> list[Phase]:
+        """From the first gateway's being told that a node leaves until the first is told that it is back or
+        gone."""
+        phases: list[Phase] = []
+        under_way: dict[str, Phase] = {}
+        for at, gateway, node, state in sorted(self.news):
+            phase = under_way.get(node)
+            if state == "leaving" and phase is None:
+                phase = Phase("drain", self.told(node), at, at, [], [gateway], open=True)
+                under_way[node] = phase
+                phases.append(phase)
+            elif phase is not None and state == "leaving" and gateway not in phase.gateways:
+                phase.gateways.append(gateway)
+            elif phase is not None and state != "leaving":
+                phase.end, phase.open = at, False
+                phase.evidence.append({"left": "it is gone"}.get(state, "it came back"))
+                del under_way[node]
+            if phase is not None and phase.open:
+                phase.end = max(phase.end, at)
+        last = self.rates.span()[1]
+        for phase in phases:
+            phase.end = max(phase.end, last) if phase.open else phase.end
+            phase.gateways.sort()
+            phase.evidence.insert(0, f"told to {len(phase.gateways)} gateways that it leaves")
+        return phases
+
     def spans(self, found: dict[tuple[str, str], list[Span]]) -> list[tuple[str, list[tuple[str, Span]]]]:
         """Spans of one node that overlap or nearly do, seen by whichever gateways, belong together."""
         by_node: dict[str, list[tuple[str, Span]]] = defaultdict(list)
@@ -480,7 +507,9 @@
 
     def recoveries(self, found: list[Phase]) -> list[Phase]:
         """After each trouble, until GETs are as well off as before it."""
-        troubles = sorted((p for p in found if p.kind not in ("gap", "half-open")), key=lambda p: p.start)
+        troubles = sorted(
+            (p for p in found if p.kind not in ("gap", "half-open", "drain")), key=lambda p: p.start
+        )
         if not troubles:
             return []
         groups: list[list[Phase]] = []
@@ -503,6 +532,8 @@
         for place, group in enumerate(groups):
             start = max(p.end for p in group)
             limit = groups[place + 1][0].start if place + 1 < len(groups) else last
+            if start >= limit or any(p.open for p in group):
+                continue  # the records end before the trouble does
             end = self.calm(start, limit, well)
             if end is not None and end - start <= self.rates.width:
                 continue  # all was well again with the end of the trouble
@@ -510,8 +541,11 @@
             if end is None:
                 evidence = [f"{1 - well:.0%} of the GETs in time was not reached again"]
             subject = "fleet"
-            phases.append(Phase("recovery", subject, start, limit if end is None else end, evidence, [],
-                                open=end is None))  # fmt: skip
+            phases.append(
+                Phase(
+                    "recovery", subject, start, limit if end is None else end, evidence, [], open=end is None
+                )
+            )
         return phases
 
     def calm(self, start: int, limit: int, well: float) -> int | None:
--- a/damsonstream/incident/rules.py
+++ b/damsonstream/incident/rules.py
@@ -11,7 +11,7 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
-from damsonstream.incident.accounting import BROKEN, TOLERANCE, Get, Leg
+from damsonstream.incident.accounting import BROKEN, TOLERANCE, Get, Leg, Stray
 from damsonstream.incident.clocks import Clocks
 from damsonstream.records import model
 
@@ -205,9 +205,13 @@
             finding.untold += 1
             finding.why = "answers lost with a crash, or hidden in a gap of the records"
 
-    def stray(self, gateway: str, boot: int, record: model.Taken | model.Answered) -> None:
+    def stray(self, gateway: str, boot: int, record: Stray) -> None:
         self.one(1).cases += 1
-        what = "a second final answer" if isinstance(record, model.Answered) else "taken twice"
+        what = "taken twice"
+        if isinstance(record, model.Sent):
+            what = f"forward {record.leg} to {record.cache} went out after its end"
+        elif isinstance(record, model.Answered):
+            what = "a second final answer, or one to nobody"
         self.broke(1, f"{gateway} boot {boot} GET number {record.get}: {what}")
 
     def findings(self) -> list[Finding]:
--- /dev/null
+++ b/damsonstream/program/commands/console.py
@@ -0,0 +1,53 @@
+"""`damsonstream console`: a fleet by its records, live or at any time of what is recorded."""
+
+from __future__ import annotations
+
+import os
+import sys
+import time
+from pathlib import Path
+
+import click
+
+
+@click.command()
+@click.argument("records", type=click.Path(path_type=Path, exists=True, file_okay=False))
+@click.option("--once", is_flag=True, help="Print the latest state and end; also where there is no terminal.")
+@click.option("--at", "seconds", type=float, help="With --once: so many seconds after the first record.")
+@click.option("--recorded", is_flag=True, help="Nothing is written any more: begin paused, at the end.")
+def console(records: Path, once: bool, seconds: float | None, recorded: bool) -> int:
+    """Watch a fleet by the records in the folder RECORDS.
+
+    Space pauses, left and right step through time, Enter looks closer at a row, / filters, q ends. A gateway
+    that stops writing is shown as stale. Exit code with --once: 0 if the fleet is well, 1 if not, 2 if there
+    are no records.
+    """
+    from damsonstream.console import text
+    from damsonstream.console.follow import Following
+
+    following = Following(records)
+    if not once and sys.stdout.isatty():
+        from damsonstream.console.app import Console
+
+        following.poll()
+        Console(following, live=not recorded).run()
+        return 0
+    following.read_all()
+    history = following.history
+    start, end = history.span()
+    if not end:
+        click.echo(f"{records} holds no records.", err=True)
+        return 2
+    at = end if seconds is None else min(end, start + int(seconds * 10_000))
+    newest = max((path.stat().st_mtime for path in records.glob("*/*.rec")), default=0.0)
+    silent = max(0.0, time.time() - newest)
+    seen = None
+    if seconds is None and not recorded:  # by the files: what a stopped fleet wrote last is not how it is now
+        seen = {
+            name: max(0.0, time.time() - max((p.stat().st_mtime for p in path.glob("*.rec")), default=0.0))
+            for path, name in following.names.items()
+        }
+    view = history.view(at, seen)
+    columns = int(os.environ.get("COLUMNS", "80"))
+    click.echo("\n".join(text.lines(view, start, columns, "recorded" if recorded else f"{silent:.0f} s old")))
+    return 0 if view.worst in ("well", "ended") else 1
--- a/damsonstream/program/commands/demo.py
+++ b/damsonstream/program/commands/demo.py
@@ -87,10 +87,21 @@
 
 
 def run(told: scenarios.Scenario, folder: Path, records: Path, seed: int, plain: bool) -> Truth:
-    async def plainly() -> Truth:
-        return await play(told, folder, records, seed, progress)
+    if plain:
+        return anyio.run(play, told, folder, records, seed, progress, backend_options={"use_uvloop": True})
+    from damsonstream.console.app import Console
+    from damsonstream.console.follow import Following
 
-    return anyio.run(plainly, backend_options={"use_uvloop": True})
+    records.mkdir(parents=True, exist_ok=True)
+    ended: list[Truth] = []
+
+    async def behind() -> None:
+        ended.append(await play(told, folder, records, seed, lambda _: None))
+
+    Console(Following(records), live=True, background=behind).run()
+    if not ended:
+        raise KeyboardInterrupt  # the console was left before the play's end
+    return ended[0]
 
 
 def tell(told: scenarios.Scenario, records: Path, truth: Truth, report: Path, json_file: Path | None) -> int:
--- a/damsonstream/report/charts.py
+++ b/damsonstream/report/charts.py
@@ -43,6 +43,7 @@
 WIDE = 10.4  # inches
 COLOURS = {
     "purge": "#7b5ea7",
+    "drain": "#5b8db8",
     "slow-source": "#e9a03b",
     "failing": "#c8553d",
     "open": "#b33951",
--- /dev/null
+++ b/tests/test_incident.py
@@ -0,0 +1,410 @@
+"""What records tell together: clocks, accounting, rules, phases and the order of a merge."""
+
+from __future__ import annotations
+
+import random
+import tempfile
+import unittest
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from damsonstream.incident.accounting import Ledger, total
+from damsonstream.incident.clocks import Clocks, Sighting, Told, align, steps
+from damsonstream.incident.gather import Both, Tales, gather, merged, summary
+from damsonstream.incident.phases import Pace, Watch
+from damsonstream.incident.rules import Rules
+from damsonstream.records import model
+from damsonstream.records.keeper import Limits
+from damsonstream.records.store import Item, Problem
+from damsonstream.records.writer import Writer
+from damsonstream.report.page import page
+from tests.helpers import TraceCase
+
+S, MS = 10_000, 10
+PAGES = model.Service("pages", 4000, 0.0, 30_000, 2.0, 0.15, "idempotent", "all", 0)
+ORDER = model.Service("order", 4000, 0.0, 30_000, 5.0, 0.15, "tokened", "zone", 3 * S)
+FIRM = model.Service("firm", 4000, 0.0, 30_000, 5.0, 0.15, "non-idempotent", "all", 0)
+
+
+def lines(*told: tuple[str, str, str]) -> list[model.Line]:
+    return [model.Line(cache, place, state, 1.0, {"p": "hub", "o": "vault"}.get(cache[0], "box"), 0)
+            for cache, place, state in told]  # fmt: skip
+
+
+class Script:
+    """One gateway's records, written one after the other."""
+
+    def __init__(self, boot: int = 1, name: str = "n1") -> None:
+        self.boot, self.name, self.entries, self.seq, self.gets = boot, name, list[Item | Problem](), 0, 0
+        self.add(model.Began(S, boot, name, "t", S, "shop", [PAGES, ORDER, FIRM], "hub", "vault", S, 3000))
+        told = lines(("c1", "shop", "active"), ("c2", "other", "active"), ("p1", "hub", "active"),
+                     ("o1", "hub", "active"))  # fmt: skip
+        self.add(model.Listed(S, 0, True, False, told))
+
+    def add(self, record: model.AnyRecord) -> Any:
+        self.entries.append(Item(self.boot, self.seq, record))
+        self.seq += 1
+
+    def gap(self, kind: str = "lost", count: int = 3) -> Any:
+        self.entries.append(Problem(kind, self.boot, 1, 0, count))
+
+    def restart(self) -> Any:
+        self.boot, self.seq, self.gets = self.boot + 1, 0, 0
+        self.entries += Script(self.boot, self.name).entries
+        self.seq = 2
+
+    def take(self, at: int, service: int = 0, thing: str = "7f", group: int = 1) -> int:
+        self.gets += 1
+        self.add(model.Taken(at, self.gets, f"{self.gets:016x}", service, thing, group, 3 * S, False))
+        return self.gets
+
+    def send(self, at: int, get: int, leg: int = 0, cache: str = "c1", source: str = "") -> Any:
+        self.add(model.Sent(at, get, leg, cache, source or cache, 0, False))
+
+    def come(
+        self,
+        at: int,
+        get: int,
+        result: str = "returned",
+        leg: int = 0,
+        note: int = 1,
+        first: int = 0,
+        stamp: int = 0,
+    ) -> Any:
+        self.add(model.Came(at, get, leg, "c1", result, note, 100, first, False, stamp))
+
+    def answer(self, at: int, get: int, outcome: str = "returned") -> Any:
+        self.add(model.Answered(at, get, outcome, 0, 1000, 0))
+
+    def whole(
+        self, at: int, service: int = 0, took: int = 100, first: int = 0, outcome: str = "returned"
+    ) -> Any:
+        get = self.take(at, service)
+        if outcome == "returned":
+            self.send(at, get, source="o1" if first else "")
+            self.come(at + took, get, note=2 if first else 1, first=first)
+        self.answer(at + took, get, outcome)
+
+
+class Heard:
+    """A listener that hears it all, as `gather` has it."""
+
+    def __init__(self, clocks: Clocks | None = None) -> None:
+        self.clocks = clocks or Clocks()
+        self.watch, self.rules, self.tales = Watch(self.clocks), Rules(self.clocks), Tales(self.clocks)
+        self.both = Both(self.watch, self.rules, self.tales)
+
+    def feed(self, script: Script, running: bool = False) -> Ledger:
+        ledger = Ledger(script.name, self.both)
+        for entry in script.entries:
+            ledger.feed(entry)
+        ledger.close(running)
+        return ledger
+
+
+class Accounting(TraceCase):
+    def verdicts(self, script: Script, running: bool = False) -> str:
+        ledger = Heard().feed(script, running)
+        return " ".join(f"{verdict} {count}" for verdict, count in sorted(total(ledger.boots).items()))
+
+    def test_each_way_a_get_may_end(self) -> None:
+        told = list[str]()
+        stories: dict[str, Callable[[Script], object]] = {
+            "answered": lambda s: s.whole(2 * S),
+            "the client left": lambda s: s.add(model.Left(3 * S, s.take(2 * S))),
+            "open as the gateway was killed": lambda s: (s.take(2 * S), s.restart()),
+            "open as the gateway ended cleanly": lambda s: (
+                s.take(2 * S),
+                s.add(model.Stopped(3 * S, "signal")),
+            ),
+            "open, and its time was up long before the kill": lambda s: (
+                s.take(2 * S),
+                s.whole(9 * S),
+                s.restart(),
+            ),
+            "an answer may be in a gap": lambda s: (s.take(2 * S), s.gap(), s.whole(9 * S), s.restart()),
+            "a gap before it was taken hides nothing": lambda s: (
+                s.whole(2 * S),
+                s.gap(),
+                s.take(4 * S),
+                s.whole(9 * S),
+                s.restart(),
+            ),
+            "a gap that the gateway told of": lambda s: (
+                s.take(2 * S),
+                s.add(model.Dropped(3 * S, 25_000, 40, "full")),
+                s.whole(9 * S),
+                s.restart(),
+            ),
+            "two answers": lambda s: (s.whole(2 * S), s.answer(3 * S, 1)),
+            "two answers while a forward is out": lambda s: (
+                s.send(2 * S, s.take(2 * S)),
+                s.answer(21_000, 1),
+                s.answer(22_000, 1, "shed"),
+                s.come(3 * S, 1),
+            ),
+            "three answers": lambda s: (s.whole(2 * S), s.answer(3 * S, 1), s.answer(3 * S, 1)),
+            "an answer after the client left": lambda s: (
+                s.add(model.Left(3 * S, s.take(2 * S))),
+                s.answer(3 * S, 1),
+            ),
+            "an answer to nobody": lambda s: (s.whole(2 * S), s.answer(3 * S, 77)),
+            "an answer to one whose taking is in a gap": lambda s: (
+                s.whole(2 * S),
+                s.gap(),
+                s.answer(3 * S, 2),
+            ),
+            "taken twice": lambda s: (
+                s.whole(2 * S),
+                s.add(model.Taken(3 * S, 1, "a", 0, "7f", 1, S, False)),
+            ),
+        }
+        for name, story in stories.items():
+            script = Script()
+            story(script)
+            told.append(f"{name}: {self.verdicts(script)}")
+        script = Script()
+        script.take(2 * S)
+        told.append(f"open while the gateway runs: {self.verdicts(script, running=True)}")
+        self.check("accounting", told)
+
+    @given(st.lists(st.sampled_from(["whole", "left", "none", "twice"]), max_size=30), st.randoms())
+    @settings(max_examples=60, deadline=None)
+    def test_verdicts_add_up_to_the_gets(self, kinds: list[str], chance: random.Random) -> None:
+        script, at = Script(), 2 * S
+        for kind in kinds:
+            at += chance.randrange(S)
+            if kind in ("whole", "twice"):
+                script.whole(at)
+            else:
+                get = script.take(at)
+                if kind == "left":
+                    script.add(model.Left(at + 1, get))
+            if kind == "twice":
+                script.answer(at + 200, script.gets)
+        script.add(model.Stopped(at + 10 * S, "signal"))
+        found = {v: n for v, n in total(Heard().feed(script).boots).items() if n}
+        names = {"whole": "once"}
+        expected = {names.get(k, k): kinds.count(k) for k in kinds}
+        self.assertEqual(found, expected)
+
+
+class TheRules(TraceCase):
+    def told(self, script: Script) -> str:
+        heard = Heard()
+        heard.feed(script)
+        shown = [f for f in heard.rules.findings() if f.broken or f.untold]
+        return (
+            "; ".join(f"rule {f.number} {f.verdict}: {(f.examples or [f.why])[0]}" for f in shown)
+            or "all kept"
+        )
+
+    def test_each_rule_broken_and_kept(self) -> None:
+        told = list[str]()
+
+        def play(name: str, *steps: object) -> None:
+            told.append(f"{name}: {self.told(script)}")
+
+        for name, delay in (("in time, by the tolerance", 3 * S + 400), ("late", 3 * S + 900)):
+            script = Script()
+            script.whole(2 * S, took=delay)
+            play(name)
+        script = Script()
+        script.whole(2 * S)
+        script.send(2 * S + 200, 1, 1)
+        play("a forward to a GET that is over")
+        script = Script()
+        get = script.take(2 * S)
+        script.send(2 * S, get)
+        script.answer(21_000, get)
+        script.send(21_100, get, 1)
+        play("a forward after the answer, one still out")
+        for service, result, cache, at in (
+            (2, "broken", "c1", 0), (2, "shed", "c1", 0), (1, "broken", "c1", 0), (1, "broken", "c2", 0),
+            (1, "broken", "c1", 4 * S), (0, "broken", "c2", 0),
+        ):  # fmt: skip
+            script = Script()
+            get = script.take(2 * S, service)
+            script.send(2 * S, get)
+            script.come(2 * S + 100, get, result)
+            script.send(2 * S + 200 + at, get, 1, cache)
+            script.answer(21_000, get)
+            play(f"{(PAGES, ORDER, FIRM)[service].name} again at {cache} after {result}, {at / S:g} s later")
+        for service in (1, 2):
+            script = Script()
+            get = script.take(2 * S, service)
+            script.send(2 * S, get)
+            script.answer(21_000, get, "shed")
+            play(f"{(PAGES, ORDER, FIRM)[service].name} shed with a forward out")
+        for after in (S, 2 * S):
+            script = Script()
+            script.add(model.Listed(2 * S, 5, False, False, lines(("p1", "hub", "leaving"))))
+            get = script.take(2 * S + after)
+            script.send(2 * S + after, get, source="p1")
+            script.answer(3 * S + after, get)
+            play(f"a draining source named {after / S:g} s later")
+        for sent, stamp in ((2000, 0), (4000, 0), (4000, 1500), (4000, 2500)):
+            script = Script()
+            script.add(model.Purge(2 * S, 5, "", 1, 2 * S))
+            get = script.take(2 * S + sent)
+            script.send(2 * S + sent, get)
+            script.come(3 * S + sent, get, stamp=stamp)
+            script.answer(3 * S + sent, get)
+            play(f"sent {sent / MS:g} ms after a purge, copy of {stamp or 'an unknown time'}")
+        self.check("rules", told)
+
+
+class ThePhases(TraceCase):
+    def test_slow_failing_overloaded_and_back(self) -> None:
+        script, chance, at = Script(), random.Random(3), 2 * S
+        while at < 42 * S:
+            at += int(chance.expovariate(20) * S)
+            slow = 12 * S <= at < 20 * S
+            first = (400 if slow else 40) * MS + chance.randrange(100)
+            shed = 24 * S <= at < 27 * S and chance.random() < 0.6
+            script.whole(at, took=first + 50, first=first, outcome="shed" if shed else "returned")
+        script.entries.sort(key=lambda entry: entry.record.at if isinstance(entry, Item) else 0)
+        script.add(model.Breaker(30 * S, "parent", "p1", "Open", 5, 9, 6.5))
+        script.add(model.Breaker(35 * S, "parent", "p1", "Half-Open", 0, 0, 0))
+        script.add(model.Breaker(36 * S, "parent", "p1", "Closed", 0, 0, 0))
+        script.add(model.Purge(40 * S, 9, "", 4, 40 * S))
+        script.add(model.Purge(40 * S + 50, 10, "", 5, 40 * S))
+        heard = Heard()
+        ledger = heard.feed(script)
+        told = []
+        for phase in heard.watch.phases(ledger.boots):
+            cost = phase.cost
+            told.append(
+                f"{phase.start / S:.1f} to {phase.end / S:.1f} {phase.kind} {phase.subject}: "
+                f"{'; '.join(phase.evidence)}; shed {cost.shed:.0f}, missed {cost.missed:.2f}"
+            )
+        self.check("phases", told)
+
+    def test_one_slow_fill_is_no_phase_and_one_fast_one_no_end(self) -> None:
+        def spans(slow: Iterable[int]) -> list[tuple[int, int]]:
+            pace, bad = Pace(), set(slow)
+            for place in range(60):
+                pace.add(place * S, 4000 if place in bad else 400)
+            return [(span.start // S, span.end // S) for span in pace.trouble.spans]
+
+        self.assertEqual(spans([20, 30, 40]), [])
+        self.assertEqual(spans(range(20, 40)), [(20, 39)])
+        self.assertEqual(spans([*range(20, 28), *range(30, 40)]), [(20, 39)])
+        self.assertEqual(spans([*range(20, 25), *range(40, 45)]), [(20, 24), (40, 44)])
+
+
+def seen(
+    clocks: dict[str, tuple[int, float]], events: int, gap: int, jitter: int, seed: int
+) -> list[Sighting]:
+    chance, found = random.Random(seed), list[Sighting]()
+    for event in range(events):
+        for name, (offset, drift) in clocks.items():
+            true = event * gap + chance.randrange(jitter + 1)
+            found.append(Sighting((name, 1), event, true + offset + round(drift * true)))
+    return found
+
+
+class TheClocks(TraceCase):
+    @given(
+        st.lists(st.integers(-60 * S, 60 * S), min_size=2, max_size=7),
+        st.integers(2, 30),
+        st.integers(0, 200 * MS),
+        st.integers(0, 99),
+    )
+    @settings(max_examples=80, deadline=None)
+    def test_offsets_are_right_within_what_is_stated(
+        self, offsets: list[int], events: int, jitter: int, seed: int
+    ) -> None:
+        clocks = {f"n{place}": (offset, 0.0) for place, offset in enumerate(offsets)}
+        fitted = align(seen(clocks, events, 3 * S, jitter, seed), [])
+        for one, first in enumerate(offsets):
+            for other, second in enumerate(offsets):
+                a, b = fitted.fits[f"n{one}", 1], fitted.fits[f"n{other}", 1]
+                slack = jitter if events < 4 else 0  # two events can agree by chance
+                off = abs((a.offset - b.offset) - (first - second))
+                self.assertLessEqual(off, a.sure + b.sure + slack)
+
+    def test_drift_restart_and_those_that_saw_nothing(self) -> None:
+        clocks = {"n1": (0, 0.0), "n2": (3 * S, 0.0005), "n3": (-S, 0.0)}
+        boots = [Told((name, 1), S, 400 * S) for name in clocks]
+        boots += [Told(("n2", 2), 410 * S, 500 * S, 0), Told(("n4", 1), S, 400 * S)]
+        fitted = align(seen(clocks, 40, 10 * S, 30 * MS, 5), boots)
+        told = []
+        for (name, boot), fit in sorted(fitted.fits.items()):
+            sure = "?" if fit.sure < 0 else f"{fit.sure / MS:.0f} ms"
+            told.append(
+                f"{name} boot {boot}: {fit.offset / MS:+.0f} ms, {fit.drift * 1e6:+.0f} ppm, within {sure}, "
+                f"{fit.how}"
+            )
+        a = (("n1", 1), 5, 100 * S)
+        for other, at in (("n2", 103 * S), ("n2", 110 * S), ("n4", 300 * S), ("n1", 100 * S)):
+            told.append(f"n1 at 100 s and {other} at {at / S:g} s: {fitted.order(a, ((other, 1), 9, at))}")
+        self.check("clocks", told)
+
+    def test_a_clock_that_is_set_back_while_it_runs(self) -> None:
+        pulses = [(at * S, at * S + (0 if at < 5 else -7 * S) + at) for at in range(10)]
+        self.assertEqual([(at // S, round(size / S)) for at, size in steps(pulses)], [(5, -7)])
+
+
+class Together(TraceCase):
+    def setUp(self) -> None:
+        holder = tempfile.TemporaryDirectory()
+        self.addCleanup(holder.cleanup)
+        self.folder = Path(holder.name)
+
+    def write(self, script: Script, shift: int = 0) -> None:
+        writer = Writer(self.folder, script.name, Limits())
+        writer.start()
+        for entry in script.entries:
+            if isinstance(entry, Item):
+                moved = msgspec.structs.replace(entry.record, at=entry.record.at + shift)
+                writer.put(0, model.encode(moved))
+        writer.close()
+
+    def test_merged_in_fleet_time_and_never_reordered_within_a_gateway(self) -> None:
+        for name, shift in (("n1", 0), ("n2", 3 * S), ("n3", -2 * S)):
+            script = Script(name=name)
+            for place in range(6):
+                script.add(model.Purge((4 + place) * S, 5 + place, "", place, place * S))
+            script.add(model.Purge(5 * S, 99, "late", -1, 1))  # written after, with an earlier time
+            self.write(script, shift)
+        told = []
+        for at, name, item in merged(self.folder):
+            if isinstance(item.record, model.Purge):
+                told.append(f"{at / S:.1f} {name} {item.record.thing or item.record.group}")
+        self.check("merged", told)
+
+    def test_hostile_names_stay_text(self) -> None:
+        name = "<script>alert(1)</script>\x1b[2J\x00$x^$ {{7*7}} ]]>&amp;"
+        evil = model.Service(name, 4000, 0.0, 30_000, 2.0, 0.15, "idempotent", "all", 0)
+        script = Script(name=name)
+        script.entries[0] = Item(1, 0, model.Began(S, 1, name, name, S, name, [evil], "hub", "vault"))
+        told = [model.Line(name, name, "active", 1.0, "vault", 0)]
+        script.add(model.Listed(S, 1, False, False, told))
+        for place in range(40):
+            get = script.take((2 + place) * S, thing=name)
+            script.send((2 + place) * S, get, cache=name, source="o1")
+            first = 4000 if place > 20 else 300
+            script.come((2 + place) * S + first, get, "returned", note=2, first=first)
+            script.answer((2 + place) * S + first, get)
+        script.add(model.Breaker(60 * S, name, name, "Open", 5, 5, 5))
+        script.add(model.Turned(61 * S, name, "errored", name))
+        self.write(script)
+        incident = gather(self.folder)
+        made = page(incident)
+        self.assertNotIn("<script", made)
+        self.assertNotIn("\x1b", made)
+        self.assertNotIn("\x00", made)
+        self.assertNotIn("http://", made.replace("http://www.w3.org/", "").replace("http://purl.org/", "")
+                         .replace("http://creativecommons.org/", ""))  # fmt: skip
+        self.assertIn("&lt;script&gt;alert(1)", made)
+        self.assertEqual(summary(incident)["accounting"]["verdicts"], {"once": 40})
+
+
+if __name__ == "__main__":
+    unittest.main()
