--- a/damsonstream/incident/clocks.py
+++ b/damsonstream/incident/clocks.py
@@ -176,9 +176,13 @@
     for place, boots in enumerate(mine):
         when[place] = median(local(boot, at) for boot, at in boots.items())
     fits = {}
-    for boot, seen in by_boot.items():
-        rest = [local(boot, at) - when[place] for place, at in seen]
-        wide = max(abs(y) for y in rest) if len(rest) < 10 else spread(rest)
+    left_over = {
+        boot: [local(boot, at) - when[place] for place, at in seen] for boot, seen in by_boot.items()
+    }
+    pooled = max(abs(y) for rest in left_over.values() for y in rest)
+    for boot, rest in left_over.items():
+        # few may agree by chance: then what all boots show of the bulletin's delays holds
+        wide = pooled if len(rest) < 20 else spread(rest)
         sure = max(FLOOR, round(2 * wide)) if len(rest) > 1 else SINGLE  # a median halves what is between two
         fits[boot] = Fit(round(offset[boot]), drift[boot], starts[boot], sure, "events", len(rest))
     return fits
--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -60,8 +60,7 @@
         memory = config.memory_mb * MB
         clients = config.sockets // CLIENTS
         cache_most = min(config.sockets - clients - RESERVED, memory // CACHE_BYTES // resp.MOST_BODY)
-        self.gateway = Gateway(config.seed, config.footprint, Clock())
-        self.gateway.observer = recorder
+        self.gateway = Gateway(config.seed, config.footprint, Clock(), recorder)
         self.caches = Caches(
             max(1, cache_most), config.streams, config.connect_timeout, config.idle - 1.0, count
         )
--- a/damsonstream/routing/gateway.py
+++ b/damsonstream/routing/gateway.py
@@ -87,10 +87,10 @@
 
 
 class Gateway:
-    observer: Observer | None = None
-
-    def __init__(self, seed: int, footprint: i.Footprint, clock: Clock) -> None:
-        self.clock, self.router = clock, Router()
+    def __init__(
+        self, seed: int, footprint: i.Footprint, clock: Clock, observer: Observer | None = None
+    ) -> None:
+        self.clock, self.router, self.observer = clock, Router(), observer
         self.inboxes: dict[int, Inbox[i.Action]] = {}  # by GET; emptied as its task ends
         self.wakes: list[int] = []  # emptied by time
         self.loop: asyncio.AbstractEventLoop | None = None
