--- a/benchmarks/reading.py
+++ b/benchmarks/reading.py
@@ -2,7 +2,8 @@
 
     .venv/bin/python -P benchmarks/reading.py --records 1000000 --gateways 4
 
-Writes a store of that many records (GETs as gateways record them), then times each tool on it in a process of its own.
+Writes a store of that many records (GETs as gateways record them), then times each tool on it in a process of
+its own.
 """
 
 from __future__ import annotations
--- a/benchmarks/recording.py
+++ b/benchmarks/recording.py
@@ -1,9 +1,11 @@
-"""What recording costs a gateway: CPU for a GET, and the time until its first forward, with records on and off.
+"""What recording costs a gateway: CPU for a GET, and the time until its first forward, with records on and
+off.
 
     .venv/bin/python -P benchmarks/recording.py --rate 1500 --seconds 8 --rounds 3
 
-One real gateway between stand-ins on loopback, with and without records in turn. CPU is the gateway process's own, by the
-system's account; the time to the first forward runs from a client's sending to the coming of the forward at a cache.
+One real gateway between stand-ins on loopback, with and without records in turn. CPU is the gateway process's
+own, by the system's account; the time to the first forward runs from a client's sending to the coming of the
+forward at a cache.
 """
 
 from __future__ import annotations
@@ -97,8 +99,8 @@
                 flush=True,
             )
     for name in ("cpu us a GET", "core", "median ms", "99% ms"):
-        off, on = (statistics.median(one[name] for one in found[side]) for side in (False, True))
-        print(f"{name}: off {off:.3f}, on {on:.3f}, {100 * (on / off - 1):+.1f}%")
+        without, with_ = (statistics.median(one[name] for one in found[side]) for side in (False, True))
+        print(f"{name}: off {without:.3f}, on {with_:.3f}, {100 * (with_ / without - 1):+.1f}%")
     print(time.strftime("%Y-%m-%d"))
 
 
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,4 +1,5 @@
-"""Drawn cases are the same ones on every run: CI gives one verdict. To look for new ones: HYPOTHESIS_PROFILE=search."""
+"""Drawn cases are the same ones on every run: CI gives one verdict. To look for new ones:
+HYPOTHESIS_PROFILE=search."""
 
 import os
 
