--- a/damsonstream/report/charts.py
+++ b/damsonstream/report/charts.py
@@ -70,6 +70,20 @@
     return whole, whole.subplots()
 
 
+def logarithmic(*axes: Any) -> None:
+    """Labels in plain text: names may hold what the library would take for formulas, so that it reads
+    none."""
+    for one in axes:
+        one.set_major_formatter(lambda value, _: short(value))
+
+
+def short(value: float) -> str:
+    for limit, unit in ((1e9, "G"), (1e6, "M"), (1e3, "k")):
+        if value >= limit:
+            return f"{value / limit:g}{unit}"
+    return f"{value:g}"
+
+
 def svg(whole: Figure, title: str) -> str:
     out = io.StringIO()
     whole.savefig(out, format="svg", metadata={"Date": None, "Creator": None, "Title": plain(title)})
@@ -185,7 +199,7 @@
                           linewidth=1.6 if style == "-" else 1.3,
                           label=f"{plain(name, 24)} {'median' if style == '-' else '95%'}")  # fmt: skip
     axes.set_yscale("log")
-    axes.yaxis.set_major_formatter(lambda value, _: f"{value:g}")
+    logarithmic(axes.yaxis)
     axes.set_ylabel("milliseconds")
     axis(incident, axes)
     shade(incident, axes)
@@ -210,7 +224,7 @@
             label=f"{watch.roles.get(node, '')} {plain(node, 24)}",
         )
     axes.set_yscale("log")
-    axes.yaxis.set_major_formatter(lambda value, _: f"{value:g}")
+    logarithmic(axes.yaxis)
     axes.set_ylabel("first byte, ms")
     axis(incident, axes)
     if axes.lines:
--- a/damsonstream/traces/gets.py
+++ b/damsonstream/traces/gets.py
@@ -49,7 +49,7 @@
 MEND = {rule: place + 1 for place, rule in enumerate(MENDED)}
 SKIP = {reason: place + 128 for place, reason in enumerate(SKIPPED)}
 ABSURD = 1 << 50  # bytes: a petabyte is no object
-MOST_TIME = 1 << 62  # nanoseconds times a unit must fit
+MOST_TIME = 1 << 62  # microseconds
 WHOLE = r"^[+-]?[0-9]{1,18}$"
 DECIMAL = r"^[+-]?([0-9]{1,18}(\.[0-9]*)?|\.[0-9]+)([eE][+-]?[0-9]{1,2})?$"
 
@@ -162,7 +162,7 @@
 
 def micros(told: Numbers, unit: int) -> tuple[np.ndarray, np.ndarray]:
     """Microseconds, and whether they fit."""
-    limit = MOST_TIME // 1000 // max(1, unit // 1000)
+    limit = MOST_TIME // max(1, unit // 1000)
     fits = np.abs(told.whole) < limit
     whole = np.where(fits, told.whole, 0)
     times = whole * (unit // 1000) if unit >= 1000 else whole // (1000 // unit)
@@ -185,11 +185,15 @@
     def make(self, rows: Rows) -> Batch:
         count = len(rows.lines)
         batch = Batch(np.zeros(count, GET), np.zeros(count, np.uint8), rows.lines)
+        extra: dict[int, int] = {}  # the first reason holds for these too
         for reason, lines in rows.skipped.items():
             at = np.isin(rows.lines, lines)
             self.fate(batch, at, SKIP[reason])
             there = set(rows.lines[at].tolist())
-            batch.extra += [(line, SKIP[reason]) for line in lines if line not in there]
+            for line in lines:
+                if line not in there:
+                    extra.setdefault(line, SKIP[reason])
+        batch.extra = list(extra.items())
         if not count:
             return batch
         self.headers(batch, rows)
--- a/damsonstream/traces/page.py
+++ b/damsonstream/traces/page.py
@@ -12,7 +12,7 @@
 from markupsafe import Markup
 
 from damsonstream.incident.words import plain
-from damsonstream.report.charts import LINES, figure, own_ids, svg
+from damsonstream.report.charts import LINES, figure, logarithmic, own_ids, svg
 from damsonstream.traces.stats import SIZES, Stats
 
 
@@ -47,6 +47,7 @@
         axes.loglog([r for r, _ in line], [c for _, c in line], "--", color=LINES[3], linewidth=1.2,
                     label=f"Zipf, alpha {zipf['alpha']:.2f}")  # fmt: skip
         axes.legend()
+    logarithmic(axes.xaxis, axes.yaxis)
     axes.set_xlabel("rank of the object")
     axes.set_ylabel("times wanted")
     return svg(whole, "Popularity")
@@ -66,6 +67,7 @@
             label=label,
         )
     axes.set_xscale("log")
+    logarithmic(axes.xaxis)
     axes.set_ylim(0, 1.02)
     axes.set_xlabel("cache size")
     axes.set_ylabel("miss ratio")
@@ -86,6 +88,7 @@
             color=LINES[1],
         )
         axes.set_xscale("log")
+        logarithmic(axes.xaxis)
     axes.set_xlabel("bytes")
     axes.set_ylabel("GETs")
     return svg(whole, "Sizes")
--- a/damsonstream/traces/reuse.py
+++ b/damsonstream/traces/reuse.py
@@ -99,17 +99,19 @@
 
     def __init__(self, salt: int, most: int = MOST) -> None:
         self.salt, self.most, self.limit = salt, most, WHOLE
-        self.stack = Stack(4 * most)
+        self.stack = Stack(4 * min(most, 1 << 14))  # it grows
         self.heap: list[tuple[int, int]] = []  # -hash, object: those that leave first as the threshold falls
         self.objects: dict[int, float] = {}  # distance bucket: weight
         self.bytes: dict[int, float] = {}
-        self.cold = self.uses = 0.0  # first uses, and all
+        self.uses = 0.0  # of the sample's objects
+        self.seen = 0  # uses of all objects
 
     @property
     def rate(self) -> float:
         return self.limit / WHOLE
 
     def add(self, objects: np.ndarray, sizes: np.ndarray) -> None:
+        self.seen += len(objects)
         hashes = mixed(objects, self.salt)
         kept = np.flatnonzero(hashes < np.uint64(min(self.limit, WHOLE - 1)))
         for thing, hash, size in zip(
@@ -128,7 +130,6 @@
             bucket = bucketed(total / self.rate)
             self.bytes[bucket] = self.bytes.get(bucket, 0.0) + 1
             return
-        self.cold += 1
         heappush(self.heap, (-hash, thing))
         if len(self.heap) > self.most:
             self.lower()
@@ -144,16 +145,20 @@
         for table in (self.objects, self.bytes):
             for bucket in table:
                 table[bucket] *= less
-        self.cold, self.uses = self.cold * less, self.uses * less
+        self.uses *= less
 
     def misses(self, size: float, of: dict[int, float]) -> float:
         """Share of uses that a cache of so many objects (or bytes), which drops the one used longest ago,
         misses."""
-        if not self.uses:
+        expected = self.seen * self.rate
+        if not expected:
             return 1.0
         limit = bucketed(size)
         hits = sum(weight for bucket, weight in of.items() if bucket <= limit)
-        return 1 - hits / self.uses
+        # whether the few very popular objects are in the sample is chance: uses that it has too many or too
+        # few are theirs, at the smallest distance (SHARDS-adj)
+        hits += expected - self.uses
+        return min(1.0, max(0.0, 1 - hits / expected))
 
 
 def bucketed(value: float) -> int:
@@ -186,7 +191,6 @@
 
     def __init__(self) -> None:
         self.sample = Sample(31, 1 << 60)
-        self.sample.stack = Stack(1 << 16)
 
     def add(self, objects: np.ndarray, sizes: np.ndarray) -> None:
         self.sample.add(objects, sizes)
--- a/damsonstream/traces/rows.py
+++ b/damsonstream/traces/rows.py
@@ -57,6 +57,12 @@
 
 
 def split(block: bytes, first: int, format: Format) -> Rows:
+    zeros, wrong = spoilt(block, first)
+    if wrong:  # what is no UTF-8 is read as if replaced: Arrow gives odd rows as text
+        parts = block.split(b"\n")
+        for line in wrong:
+            parts[line - first] = parts[line - first].decode(errors="replace").encode()
+        block = b"\n".join(parts)
     wide = len(format.columns)
     odd: list[tuple[int, str]] = []  # line, its text
 
@@ -82,7 +88,6 @@
     if block.startswith(b"\n") or b"\n\n" in block:  # Arrow gives an empty line as a row of empty fields
         ends = np.flatnonzero(np.frombuffer(block, np.uint8) == 10)
         rows.skipped["empty"] = (np.flatnonzero(np.diff(ends, prepend=-1) == 1) + first).tolist()
-    zeros, wrong = spoilt(block, first)
     if zeros:
         rows.skipped["nul-byte"] = zeros
     if wrong:
--- a/damsonstream/traces/stats.py
+++ b/damsonstream/traces/stats.py
@@ -152,6 +152,7 @@
                 counts[second - first] = count
         if len(counts) < 2:
             counts = np.array(list(self.rates.values()), float)
+        counts = counts[1:-1] if len(counts) > 3 else counts  # the first and the last second are cut
         found = {"peak_to_mean": round(float(counts.max() / counts.mean()), 3)}
         for span in (1, 10, 60):
             whole = counts[: len(counts) // span * span].reshape(-1, span).sum(axis=1)
