--- a/damsonstream/__init__.py
+++ b/damsonstream/__init__.py
@@ -1,2 +1,2 @@
 """damsonstream: a router before tiers of caches with one origin behind them."""
-__version__ = "0.2.0"
+__version__ = "0.4.0"
--- a/damsonstream/demo/check.py
+++ b/damsonstream/demo/check.py
@@ -82,12 +82,21 @@
     return f"gateway {step.to}" if step.does == "kill" else truth.uids.get(step.to, "")
 
 
+def unasked(happened: Happened, truth: Truth) -> bool:
+    """Whether nobody had to do with a node any more: one that is drained may fail unseen."""
+    step = happened.step
+    return step.does != "drain" and any(
+        other.step.does == "drain" and other.step.to == step.to and other.start <= happened.start <= other.end
+        for other in truth.steps
+    )
+
+
 def phases(told: dict[str, Any], truth: Truth) -> list[str]:
     wrong = []
     for happened in truth.steps:
         step = happened.step
         kinds = SHOWN.get(step.does)
-        if kinds is None:
+        if kinds is None or unasked(happened, truth):
             continue
         about = subject(happened, truth)
         mine = [p for p in told["phases"] if p["kind"] in kinds and (not about or about in p["subject"])]
--- a/damsonstream/replay/account.py
+++ b/damsonstream/replay/account.py
@@ -16,7 +16,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-OUTCOMES = ("returned", "shed", "errored", "late", "lost", "overdue", "no-gateway")
+OUTCOMES = ("returned", "shed", "errored", "late", "lost", "overdue", "no-gateway", "no-room")
 MOST_US = 120_000_000  # latencies are kept up to two minutes
 FORM = 1
 
--- a/damsonstream/replay/run.py
+++ b/damsonstream/replay/run.py
@@ -157,6 +157,8 @@
             while (left := until - self.clock()) > 0:
                 link = self.reach(wish.client)
                 if link is None:
+                    if not tries:
+                        outcome = "no-room" if any(self.links.values()) else "no-gateway"
                     await anyio.sleep(min(left, STEP * 4))
                     continue
                 now = sent = self.clock()
@@ -167,7 +169,8 @@
                 with anyio.move_on_after(left) as scope:
                     await waiting.done
                 self.limits.ended(link.name)
-                if scope.cancelled_caught and not waiting.done.done():
+                # its future is cancelled with the wait for it: whether it ended is told by the outcome
+                if scope.cancelled_caught and not waiting.one.outcome:
                     self.give_up(link, waiting)
                 outcome = waiting.one.outcome
                 again = self.limits.again(
--- a/damsonstream/settings/kdl.py
+++ b/damsonstream/settings/kdl.py
@@ -29,7 +29,8 @@
     """The file can't be used: file, line, field and what is wrong."""
 
     def __init__(self, file: str, line: int, field: str, what: str) -> None:
-        super().__init__(f"{file}:{line}: {field}: {what}" if field else f"{file}:{line}: {what}")
+        where = f"{file}:{line}" if line else file  # 0: it is the file as a whole
+        super().__init__(f"{where}: {field}: {what}" if field else f"{where}: {what}")
         self.file, self.line, self.field, self.what = file, line, field, what
 
 
--- a/damsonstream/standins/clients.py
+++ b/damsonstream/standins/clients.py
@@ -178,7 +178,8 @@
                 waiting = self.send(link, arrival, further, left)
                 with anyio.move_on_after(left) as scope:
                     await waiting.done
-                if scope.cancelled_caught and not waiting.done.done():
+                # its future is cancelled with the wait for it: whether it ended is told by the outcome
+                if scope.cancelled_caught and not waiting.one.outcome:
                     self.give_up(link, waiting)
                 waiting.one.took = self.now() - waiting.one.sent
                 if waiting.one.outcome not in ("shed", "lost"):
--- a/damsonstream/tiers/zones.py
+++ b/damsonstream/tiers/zones.py
@@ -16,6 +16,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -74,7 +75,7 @@
 
     @property
     def ramp(self) -> float:
-        return RAMP * min(SLOWEST, SLOWER ** float(min(self.flaps, 20)))
+        return RAMP * min(SLOWEST, math.pow(SLOWER, min(self.flaps, 20)))
 
 
 class Watch:
