A learnt crowd on the link fades: a calm trace stayed shed for 9 s after its vault was well

Observed (replay of a trace with few misses, the vault 600 ms slower for 8 s, from the gateways' own records): 50 of 240 GETs a second were looked up, found lacking and shed until the end, 9 s after the vault was well, with 4 fills a second. Line: Router.fits. Late fills raise the learnt crowd on the link, only fills in time ease it, and what is shed for it brings none. Ruled out: breakers of the caches (Closed), room (looked up at once). May harm: a link that is over-full for long is tried more often; late fills raise it again at once.

--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -182,6 +182,7 @@
     trials: list[Node]  # of those, the Half-Open ones
     judged: bool = False
 
+FADE = 5 * S  # a learnt crowd on the link halves in it: as long as a breaker's cool-down
 NEAR = 6 * MS  # a cache of the own location says no within it; what comes later was said behind it
 
 
@@ -222,6 +223,7 @@
         self.line: list[tuple[bool, float, int, int]] = []  # further, -density, since, GET
         self.purges: dict[str | int, int] = {}  # object or group: when; emptied when copies have settled
         self.link, self.density = 1.0, 0.0  # link in, 1: just full; usual revenue for a unit of sending time
+        self.link_at = 0  # when the link was told or learnt last
         self.stock = max(2.0, 20 / self.told.location_gateways)  # each gateway's part of a small stock
         self.spare = self.stock / 2  # further forwards that may still go
         self.ample = 0.6 / max(2, self.told.location_gateways)  # room for what spills
@@ -333,7 +335,12 @@
 
     def fits(self, get: Get) -> bool:
         """Whether its fill still fits on the link into the location, by chance while that is over-full."""
-        return get.luck * self.link < 1.2  # 1.2 or 2: level on the days tried
+        return get.luck * self.crowd() < 1.2  # 1.2 or 2: level on the days tried
+
+    def crowd(self) -> float:
+        """How full the link in is; that fades, since GETs shed for it bring no fill that would ease it."""
+        over = max(0.0, self.link - 1.0)
+        return min(self.link, 1.0) + over * 2.0 ** -((self.now - self.link_at) / FADE)
 
     def overdue(self, get: Get) -> int:
         """When a forward is looked at: past the usual, or twice that where its size is not told."""
@@ -501,7 +508,8 @@
             fit, busy = cache.entry.units * self.warmth(cache), event.load["busy"]
             cache.held = busy * fit if busy < 0.9 else min(4 * fit, 1.5 * max(fit, cache.held))
             cache.held_at = self.now
-        self.link = event.load.get("link", self.link)
+        if "link" in event.load:
+            self.link, self.link_at = event.load["link"], self.now
         good, alive = event.result == "returned", event.result in ("returned", "lacking")
         filled = event.note in (2, 3) or (good and self.told.notes == "none")
         blamed = None if good or out.judged or event.shared else self.judge(out, event)
@@ -553,7 +561,9 @@
         if filled:
             if "link" not in event.load:
                 ease = 0.99 if out.get.size else 0.97  # balances at a tenth late; unsized, large ones look so
-                self.link = min(16.0, self.link * 1.1) if late else max(1.0, self.link * ease)
+                link = self.crowd()
+                self.link = min(16.0, link * 1.1) if late else max(1.0, link * ease)
+                self.link_at = self.now
             # half a failure: a first byte over this source's usual 95th percentile, after a window of fills
             source.filled_at = source.filled_at or self.now
             usual = source.first_byte or 2.0 * event.first_byte
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -342,6 +342,17 @@
             lines.append(f"{cache.out} out, told {cache.held:.0f}, full {desk.router.full(cache):.2f}")
         self.check("told-together", lines)
 
+    def test_a_crowd_on_the_link_that_is_learnt_fades(self) -> None:
+        """GETs that are shed for it bring no fill: it must not stay full for good."""
+        desk, lines = Desk("c1 p1 o"), list[str]()
+        for get in range(40):
+            desk.take(get)
+            desk.end(get, "returned", 2, took=20_000)
+        for seconds in (0, 5, 10, 30):
+            desk.now += seconds * S
+            lines.append(f"{seconds} s later {desk.router.crowd():.2f}")
+        self.check("link-fades", lines)
+
     def test_caches_that_come_and_go(self) -> None:
         """New ids replace old ones all day: an old one goes as it has left and no forward holds it."""
         desk = Desk("c0 p1 o")
