--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -340,7 +340,7 @@
     def crowd(self) -> float:
         """How full the link in is; that fades, since GETs shed for it bring no fill that would ease it."""
         over = max(0.0, self.link - 1.0)
-        return min(self.link, 1.0) + over * 2.0 ** -((self.now - self.link_at) / FADE)
+        return min(self.link, 1.0) + over * math.pow(2.0, (self.link_at - self.now) / FADE)
 
     def overdue(self, get: Get) -> int:
         """When a forward is looked at: past the usual, or twice that where its size is not told."""
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -350,6 +350,7 @@
             desk.end(get, "returned", 2, took=20_000)
         for seconds in (0, 5, 10, 30):
             desk.now += seconds * S
+            desk.tell(i.Woken())
             lines.append(f"{seconds} s later {desk.router.crowd():.2f}")
         self.check("link-fades", lines)
 
