A learnt crowd on the link halves in 2 s: in 5 s a calm trace was still shed for 8 s

Observed: from 16 times full it took 20 s at a half in 5 s until all fitted again; sheds after the vault was well fell only from 108 to 22 in 8 s.

--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -182,7 +182,7 @@
     trials: list[Node]  # of those, the Half-Open ones
     judged: bool = False
 
-FADE = 5 * S  # a learnt crowd on the link halves in it: as long as a breaker's cool-down
+FADE = 2 * S  # a learnt crowd on the link halves in it: from the most to nothing in ten seconds
 NEAR = 6 * MS  # a cache of the own location says no within it; what comes later was said behind it
 
 
