--- a/damsonstream/replay/play.py
+++ b/damsonstream/replay/play.py
@@ -15,7 +15,7 @@
 
 import anyio
 
-from damsonstream.demo.play import Play
+from damsonstream.demo.play import OFFERS, Play
 from damsonstream.demo.scenario import Scenario, Step, load
 from damsonstream.replay.account import Account
 from damsonstream.replay.limits import Rule
@@ -128,6 +128,9 @@
 
 
 def with_fleet(order: Order, gateways: int, folder: Path) -> dict[str, Any]:
+    most = max(offer.patience_ms for offer in OFFERS) / 1000
+    if order.patience > most:
+        raise RuntimeError(f"the fleet's viewers wait {most:g} s at the most, not {order.patience:g}")
     spans = order.trace.spans()
     long = max(4.0, (spans[-1][2] if spans else 0) / 1e6 / order.speed)
     steps: tuple[Step, ...] = ()
