--- a/damsonstream/demo/scenario.py
+++ b/damsonstream/demo/scenario.py
@@ -7,8 +7,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
-from importlib import resources
-from pathlib import Path
 
 from damsonstream.settings import kdl
 from damsonstream.standins.faults import KINDS, Fault
@@ -63,20 +61,11 @@
 
 
 def shipped() -> list[str]:
-    folder = resources.files("damsonstream.demo") / "scenarios"
-    return sorted(
-        entry.name.removesuffix(".kdl") for entry in folder.iterdir() if entry.name.endswith(".kdl")
-    )
+    return kdl.shipped("damsonstream.demo", "scenarios")
 
 
 def load(name: str) -> Scenario:
-    if name in shipped():
-        text = (resources.files("damsonstream.demo") / "scenarios" / f"{name}.kdl").read_text()
-        return scenario(name, kdl.parse(text, f"{name}.kdl"))
-    path = Path(name)
-    if not path.suffix and not path.exists():
-        raise kdl.Fault(name, 0, "", f"is none of the scenarios ({', '.join(shipped())}), and no file")
-    return scenario(path.stem, kdl.read(name))
+    return scenario(*kdl.find(name, "damsonstream.demo", "scenarios"))
 
 
 def scenario(name: str, top: kdl.Section) -> Scenario:
--- a/damsonstream/incident/accounting.py
+++ b/damsonstream/incident/accounting.py
@@ -27,7 +27,6 @@
 from damsonstream.records.store import Item, Problem
 
 GOOD = ("once", "left")
-EXCUSED = ("crash", "hidden", "open")
 BROKEN = ("none", "twice", "stray")
 TOLERANCE = 500  # tenths of a millisecond: time limits on sockets are 50 ms longer
 UNTAKEN, TAKEN, ANSWERED, TWICE, LEFT, HIDDEN = range(6)
--- a/damsonstream/report/charts.py
+++ b/damsonstream/report/charts.py
@@ -62,7 +62,6 @@
 )
 LINES = ("#3c8d9e", "#7b5ea7", "#e9a03b", "#c8553d", "#4f9d69", "#3d4752")
 MOST_ROWS = 24  # of a timeline: more can't be read
-DASHES = ((), (4, 2), (1, 1.5))
 
 
 def figure(high: float) -> tuple[Figure, Any]:
--- a/damsonstream/settings/kdl.py
+++ b/damsonstream/settings/kdl.py
@@ -12,6 +12,7 @@
 import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from importlib import resources
 from pathlib import Path
 from typing import TypeVar
 
@@ -169,6 +170,15 @@
 
         return self.value(name, default, read, "a text")
 
+    def texts(self, name: str, what: str = "text") -> tuple[str, ...]:
+        """A field of one or more texts."""
+        found = self.section(name)
+        if found is None:
+            return ()
+        if not found.args or not all(isinstance(value, str) for value in found.args):
+            raise self.fault(f"takes one {what} or more", name, found.line)
+        return tuple(str(value) for value in found.args)
+
     def number(self, name: str, default: float, least: float = 0.0, most: float = 1e12) -> float:
         def read(value: object) -> float:
             if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= most:
@@ -235,3 +245,20 @@
     except UnicodeDecodeError as fault:
         line = data[: fault.start].count(b"\n") + 1
         raise Fault(path, line, "", "is not UTF-8") from fault
+
+
+def shipped(package: str, folder: str) -> list[str]:
+    """Names of the files that a package brings."""
+    entries = (resources.files(package) / folder).iterdir()
+    return sorted(entry.name.removesuffix(".kdl") for entry in entries if entry.name.endswith(".kdl"))
+
+
+def find(name: str, package: str, folder: str) -> tuple[str, Section]:
+    """A shipped file or one of the user's own, with the name that it goes by."""
+    if name in (names := shipped(package, folder)):
+        text = (resources.files(package) / folder / f"{name}.kdl").read_text()
+        return name, parse(text, f"{name}.kdl")
+    path = Path(name)
+    if not path.suffix and not path.exists():
+        raise Fault(name, 0, "", f"is none of the {folder} ({', '.join(names)}), and no file")
+    return path.stem, read(name)
--- a/damsonstream/tiers/load.py
+++ b/damsonstream/tiers/load.py
@@ -10,15 +10,6 @@
 from damsonstream.tiers.shape import ROLES, Node, Shape, Zone, shape_of
 
 
-def texts(section: kdl.Section, name: str) -> tuple[str, ...]:
-    found = section.section(name)
-    if found is None:
-        return ()
-    if not found.args or not all(isinstance(value, str) for value in found.args):
-        raise section.fault("takes one name or more", name, found.line)
-    return tuple(str(value) for value in found.args)
-
-
 def named(section: kdl.Section, what: str) -> str:
     if len(section.args) != 1 or not isinstance(section.args[0], str) or not section.args[0]:
         raise section.fault(f"takes the {what}'s name")
@@ -40,7 +31,7 @@
         name = named(section, "zone")
         if name in zones:
             raise section.fault(f"{name} is given twice")
-        zones[name] = Zone(name, texts(section, "prefers"), section.number("takes", 0.5, 0, 1),
+        zones[name] = Zone(name, section.texts("prefers", "name"), section.number("takes", 0.5, 0, 1),
                            section.number("gives", 1.0, 0, 1))  # fmt: skip
         section.finish()
     nodes: dict[str, Node] = {}
@@ -53,7 +44,7 @@
             if not zone:
                 raise section.fault("is missing", "zone")
             nodes[name] = Node(
-                name, role, zone, section.number("capacity", 0.0, 0, 1e9), texts(section, "sources")
+                name, role, zone, section.number("capacity", 0.0, 0, 1e9), section.texts("sources", "name")
             )
             section.finish()
     top.finish()
--- a/damsonstream/traces/format.py
+++ b/damsonstream/traces/format.py
@@ -7,8 +7,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from importlib import resources
-from pathlib import Path
 
 from damsonstream.settings import kdl
 
@@ -76,30 +74,11 @@
 
 
 def shipped() -> list[str]:
-    folder = resources.files("damsonstream.traces") / "formats"
-    return sorted(
-        entry.name.removesuffix(".kdl") for entry in folder.iterdir() if entry.name.endswith(".kdl")
-    )
+    return kdl.shipped("damsonstream.traces", "formats")
 
 
 def load(name: str) -> Format:
-    if name in shipped():
-        text = (resources.files("damsonstream.traces") / "formats" / f"{name}.kdl").read_text()
-        return parse(name, kdl.parse(text, f"{name}.kdl"))
-    path = Path(name)
-    if not path.suffix and not path.exists():
-        raise kdl.Fault(name, 0, "", f"is none of the formats ({', '.join(shipped())}), and no file")
-    return parse(path.stem, kdl.read(name))
-
-
-def texts(section: kdl.Section, name: str) -> tuple[str, ...]:
-    """A field of one or more texts."""
-    found = section.section(name)
-    if found is None:
-        return ()
-    if not found.args or not all(isinstance(value, str) for value in found.args):
-        raise section.fault("takes one text or more", name, found.line)
-    return tuple(str(value) for value in found.args)
+    return parse(*kdl.find(name, "damsonstream.traces", "formats"))
 
 
 def parse(name: str, top: kdl.Section) -> Format:
@@ -110,7 +89,7 @@
     delimiter = csv.text("delimiter", ",")
     if len(delimiter) != 1 or not delimiter.isascii() or delimiter in '"\r\n\0':
         raise csv.fault(f"{delimiter!r} is not one character that can part fields", "delimiter")
-    header, columns = csv.flag("header", False), texts(csv, "columns")
+    header, columns = csv.flag("header", False), csv.texts("columns")
     if not 2 <= len(columns) <= MOST_COLUMNS or len(set(columns)) != len(columns):
         raise csv.fault(f"names 2 to {MOST_COLUMNS} columns, each once", "columns")
     csv.finish()
@@ -127,21 +106,21 @@
     unit = told.text("unit", "s")
     if unit not in UNITS:
         raise told.fault(f"{unit} is none of {', '.join(UNITS)}", "unit")
-    time = Time(column(told, "column"), UNITS[unit], column(told, "minus", False), texts(told, "absent"))
+    time = Time(column(told, "column"), UNITS[unit], column(told, "minus", False), told.texts("absent"))
     told.finish()
-    key = texts(top, "key")
+    key = top.texts("key")
     if not key or any(one not in columns for one in key):
         raise top.fault("names one column or more", "key")
     size = Size()
     if (told := top.section("size")) is not None:
-        size = Size(column(told, "column"), int(told.number("unit", 1, 1, 1 << 30)), texts(told, "absent"))
+        size = Size(column(told, "column"), int(told.number("unit", 1, 1, 1 << 30)), told.texts("absent"))
         told.finish()
     operation = Operation()
     if (told := top.section("operation")) is not None:
         unknown = told.text("unknown", "skip")
         if unknown not in ("skip", "read"):
             raise told.fault("is skip or read", "unknown")
-        read, write, drop = (texts(told, kind) for kind in ("read", "write", "drop"))
+        read, write, drop = (told.texts(kind) for kind in ("read", "write", "drop"))
         every = [*read, *write, *drop]
         if len(set(every)) != len(every):
             raise told.fault("a word stands twice among read, write and drop")
--- a/damsonstream/traces/gets.py
+++ b/damsonstream/traces/gets.py
@@ -98,12 +98,6 @@
     return ((values >> np.uint64(11)).astype(np.float64) + 0.5) / 2**53
 
 
-def raw(words: pa.Array) -> list[bytes]:
-    """The bytes of strings, also of those that are not UTF-8."""
-    found = words.view(pa.binary()).to_pylist()
-    return [word or b"" for word in found]
-
-
 def encoded(column: pa.Array) -> tuple[list[bytes], np.ndarray]:
     """The words of a column, and which of them each row has."""
     told = column.view(pa.binary()).dictionary_encode()
