Peers: members, evidence, turns, shares, subsets as pure modules, wired behind the operator's file

Change: package peers (wire, order, members, evidence, turns, shares, subsets, spread, council), one UDP socket, events and questions through routing/interface.py; package virtual (a fleet in virtual time), package together (several processes with relays on every path); standins tell one gateway its own view of the list. program/cli and commands/root no longer import each other. Off unless the operator's file has a peers section.

--- a/damsonstream/demo/fleet.py
+++ b/damsonstream/demo/fleet.py
@@ -50,8 +50,11 @@
         names: list[str],
         clocks: tuple[ClockOff, ...],
         settings: Callable[[str], dict[str, Any]],
+        operator: str = "",
     ) -> None:
-        """`settings`: all of a gateway's configuration but its name, address and seed, as it is told now."""
+        """`settings`: all of a gateway's configuration but its name, address and seed, as it is told now;
+        `operator`: KDL that each gateway's own settings hold besides records."""
+        self.operator = operator
         self.folder, self.records, self.names, self.settings = folder, records, names, settings
         self.clocks = {clock.gateway: clock for clock in clocks}
         self.addresses = {name: (LOOPBACK, free_port()) for name in names}
@@ -66,7 +69,8 @@
         config.write_text(json.dumps(told, indent=1))
         off = self.clocks.get(name)
         trial = f"    trial-clock {{ shift {off.shift}; drift {off.drift:.9f}; }}\n" if off else ""
-        operator.write_text(f"records {{\n    folder {json.dumps(str(self.records))}\n{trial}}}\n")
+        records = f"records {{\n    folder {json.dumps(str(self.records))}\n{trial}}}\n"
+        operator.write_text(records + self.operator)
         return config, operator
 
     async def start(self, name: str) -> None:
@@ -94,6 +98,14 @@
         self.running[name].send_signal(signal.SIGKILL)
         self.running.pop(name).wait()
 
+    def stall(self, name: str) -> None:
+        """It stands still, as one without a processor does, until `resume`."""
+        self.running[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        if name in self.running:
+            self.running[name].send_signal(signal.SIGCONT)
+
     async def stop(self) -> dict[str, int]:
         """Exit codes by name; one that does not end in time is killed."""
         for process in self.running.values():
--- /dev/null
+++ b/damsonstream/peers/council.py
@@ -0,0 +1,353 @@
+"""One gateway among its peers: members, evidence, turns, shares and what is told of them. No I/O.
+
+How it is called: the router asks `turn`, `part` and tells `asked`, `saw`, `trying`, `tried`, `listed`, `anew`
+(`routing/interface.py`, Fleet). Around it, `heard(now, place, data)` takes a datagram from the address of
+that place in the list of peers (below zero: from none of them), `due(now)` gives those to send, and both
+give what the router is to be told. Times are whole tenths of a millisecond of this gateway's own clock; none
+of another's clock is ever compared with it.
+
+With `pieces` each part can be switched off: what is asked then is answered as if no message ever came.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from heapq import heappop, heappush
+
+from damsonstream.peers import order, wire
+from damsonstream.peers.evidence import Evidence
+from damsonstream.peers.members import PERIOD, Members
+from damsonstream.peers.pieces import PIECES
+from damsonstream.peers.shares import Shares
+from damsonstream.peers.spread import Spread
+from damsonstream.peers.subsets import assigned
+from damsonstream.peers.turns import Turns
+
+MS, S = 10, 10_000
+TURN = S // 10  # between datagrams of news: a way through 200 gateways is some six of them
+FANOUT = 2  # others told in a turn: with the repeats of peers/spread.py all but one in a thousand hear of it
+HELLO = 4  # others that one which starts tells of itself, besides its neighbours
+HELLO_FOR = 5 * S  # while one starts, what it knows of others rides along: who is where
+RIDES, RIDER = 4, 24  # beats of others in such a datagram, and the bytes of one at most
+KNOWN = 2 * S  # before, nobody can say what a gateway that starts is asked for: it tells none
+HEAD = 40  # bytes of a datagram without items, at most
+WATCH = 8  # gateways that look after one cache or source, from whom its trials come
+STALLED = 5 * TURN  # without a turn of its own: this process stood still, and what waits in its socket is old
+OLD = 2 * TURN  # after such a standstill, for which what comes is counted as old and not believed
+AHEAD = 864_000  # of one's own boot, a day in tenths of a second: a later one is nonsense
+
+
+class Told:
+    """What the router is to hear: a source by the low half of its hash, and dead, bad or well."""
+
+    __slots__ = ("source", "what")
+
+    def __init__(self, source: int, what: str) -> None:
+        self.source, self.what = source, what
+
+    def __repr__(self) -> str:
+        return f"{self.source:08x} {self.what}"
+
+
+class Council:
+    def __init__(
+        self, name: str, me: int, told: int, here: int, at_home: int, boot: int, price: float, seed: int,
+        now: int, pieces: frozenset[str] = frozenset(PIECES),
+    ) -> None:  # fmt: skip
+        """`me`: place in the list of peers; `told`, `at_home`: gateways of the fleet and of this location, as
+        told; `here`: this location's place; `price`: as peers/spread.py has it."""
+        self.name, self.me, self.here, self.pieces = name, me, here, pieces
+        self.chance = random.Random(seed)
+        self.members = Members(me, boot, told, now)
+        self.evidence, self.turns = Evidence(me), Turns(me)
+        alone = "shares" not in pieces
+        self.near = Shares(me, here, at_home, now, alone)
+        self.far = Shares(me, wire.EVERYWHERE, told, now, alone)
+        self.spread = Spread(price, now)
+        self.spread.count = told
+        self.heard_of: dict[int, wire.Seen64] = {}  # by place: which datagrams came; as long as the list
+        self.names: dict[int, str] = {}  # by place
+        self.later: list[tuple[int, int]] = []  # when, source: returns that are due; emptied by time
+        self.opened: dict[int, int] = {}  # sources told dead: when; emptied as they are no longer
+        self.private: list[tuple[int, wire.Ask | wire.Grant]] = []  # to whom; emptied each turn
+        # who looks after a source, of this location and of all; made anew as the lists change
+        self.sources: dict[bool, tuple[int, ...]] = {True: (), False: ()}
+        self.watch: dict[bool, tuple[tuple[int, ...], dict[int, list[int]]]] = {}
+        self.number, self.begun, self.ticked, self.beat_at, self.woken = 0, now, now, now, -S
+        self.counted: Counter[str] = Counter()
+        self.gets = 0
+
+    # what the router asks and tells
+
+    def asked(self, now: int) -> None:
+        self.near.asked(now)
+        self.far.asked(now)
+
+    def saw(self, now: int, source: int, home: bool, bad: bool) -> None:
+        if "evidence" in self.pieces:
+            self.evidence.saw(now, source, self.here if home else wire.EVERYWHERE, bad)
+
+    def anew(self, source: int) -> None:
+        """It is a new process: what was seen of the old one says nothing."""
+        self.evidence.clear(source)
+        self.opened.pop(source, None)
+
+    def turn(self, now: int, source: int, home: bool, since: int) -> bool:
+        """Whether this gateway is the one to try it now; `since`: when its own cool-down was over."""
+        if "turns" not in self.pieces:
+            return True
+        return self.turns.mine(now, source, since, self.candidates(now, source, home))
+
+    def trying(self, now: int, source: int, home: bool) -> None:
+        if "turns" in self.pieces:
+            location = self.here if home else wire.EVERYWHERE
+            self.spread.tell(now, self.turns.began(now, source, location, self.members.boot))
+
+    def tried(self, now: int, source: int, home: bool, good: bool) -> None:
+        if good:
+            self.evidence.clear(source)
+            self.opened.pop(source, None)
+        if "turns" in self.pieces:
+            location = self.here if home else wire.EVERYWHERE
+            self.spread.tell(now, self.turns.ended(now, source, location, self.members.boot, good))
+
+    def part(self, now: int, home: bool) -> float:
+        return (self.near if home else self.far).part(now)
+
+    # who they are
+
+    def places(self, home: bool) -> list[int]:
+        """All gateways of the fleet, or those known to be of this location, this one included."""
+        if not home:
+            return list(range(self.members.told))
+        others = self.members.others
+        return sorted([self.me, *(place for place, one in others.items() if one.location == self.here)])
+
+    def candidates(self, now: int, source: int, home: bool) -> list[int]:
+        """From whom a source's trials come: those that look after it, as far as they live."""
+        places = self.places(home)
+        if "subsets" in self.pieces:
+            of, watch = self.watch.get(home, ((), {}))
+            if of != tuple(places):
+                watch = assigned(places, self.sources[home], WATCH)
+                self.watch[home] = tuple(places), watch
+            places = watch.get(source) or order.first(places, source, WATCH)
+        if "members" in self.pieces:
+            places = self.members.living(now, places)
+        return places
+
+    def listed(self, home: tuple[int, ...], far: tuple[int, ...]) -> None:
+        """The sources of the list, of this location and of all: who looks after which is shared anew."""
+        for at_home, sources in ((True, home), (False, far)):
+            if self.sources[at_home] != sources:
+                self.sources[at_home] = sources
+                self.watch.pop(at_home, None)
+
+    def resize(self, now: int, told: int, at_home: int) -> None:
+        self.members.resize(now, told)
+        self.near.resize(now, at_home)
+        self.far.resize(now, told)
+        self.spread.count = told
+        for table in (self.heard_of, self.names):
+            for place in [place for place in table if place >= told]:
+                del table[place]
+
+    # datagrams
+
+    def heard(self, now: int, place: int, data: bytes) -> list[Told]:
+        """A datagram; whatever it holds, it costs bounded work and is counted."""
+        if self.stood_still(now):
+            self.counted["old"] += 1
+            return []
+        try:
+            datagram = wire.read(data)
+        except wire.Unreadable as fault:
+            self.counted[str(fault)] += 1
+            return []
+        if not 0 <= place < self.members.told or datagram.place != place or place == self.me:
+            self.counted["foreign"] += 1
+            return []
+        if self.names.setdefault(place, datagram.name) != datagram.name or datagram.name == self.name:
+            self.counted["twin"] += 1
+            return []
+        if not self.heard_of.setdefault(place, wire.Seen64()).fresh(datagram.boot, datagram.number):
+            self.counted["repeated"] += 1
+            return []
+        self.counted["heard"] += 1
+        self.members.anyone(now)
+        told: list[Told] = []
+        for item in datagram.items:
+            if not isinstance(item, (wire.Ask, wire.Grant)) and item.boot > self.members.boot + AHEAD:
+                self.counted["nonsense"] += 1
+                continue
+            told += self.take(now, place, item)
+        return told
+
+    def take(self, now: int, place: int, item: wire.Item) -> list[Told]:
+        match item:
+            case wire.Beat():
+                doubted = item.by in self.members.silences
+                news = self.members.heard(now, item, direct=item.by == place)
+                if item.by != place or doubted:  # one that was doubted and answers is news for all
+                    self.spread.heard(now, wire.Beat(item.by, item.boot, item.beat, item.location,
+                                                     item.demand), news and doubted)  # fmt: skip
+            case wire.Doubt():
+                mine = self.members.beat
+                self.spread.heard(now, item, self.members.doubted(now, item))
+                if self.members.beat > mine:
+                    self.spread.tell(now, self.own_beat(now))
+            case wire.Seen():
+                if "evidence" in self.pieces and item.location in (self.here, wire.EVERYWHERE):
+                    settled = self.evidence.settled(now, item)
+                    self.spread.heard(now, item, self.evidence.heard(now, item) and not settled)
+            case wire.Trial():
+                if "turns" in self.pieces and item.location in (self.here, wire.EVERYWHERE):
+                    news, shows = self.turns.heard(now, item)
+                    self.spread.heard(now, item, news)
+                    return self.shown(now, item.source, shows)
+            case wire.Ask():
+                lender = self.near if item.scope == self.here else self.far
+                if (grant := lender.grant(now, place, item)) is not None:
+                    self.private.append((place, grant))
+            case wire.Grant():
+                (self.near if item.scope == self.here else self.far).lent(now, place, item)
+        return []
+
+    def shown(self, now: int, source: int, shows: str) -> list[Told]:
+        if shows == "bad":
+            return [Told(source, "bad")]
+        if shows == "good":
+            self.evidence.clear(source)
+            self.opened.pop(source, None)
+            if self.turns.closes(now, source):
+                heappush(self.later, (now + self.turns.back(source), source))
+        return []
+
+    def own_beat(self, now: int, echo: int = 0) -> wire.Beat:
+        members = self.members
+        known = now - self.begun > KNOWN
+        demand = min(0xFFFFFFFF, max(1, int(self.far.demand(now) * 100))) if known else 0
+        return wire.Beat(self.me, members.boot, members.beat, self.here, demand, echo)
+
+    def stood_still(self, now: int) -> bool:
+        """Whether this process stood still until just now: what waits in its socket is from before."""
+        if now - self.ticked > STALLED:
+            self.woken = now
+        return now - self.woken < OLD
+
+    def due(self, now: int) -> tuple[list[tuple[int, bytes]], list[Told]]:
+        """Once a TURN: datagrams to send, by place, and what the router is to hear."""
+        self.stood_still(now)
+        self.ticked = now
+        told = self.verdicts(now)
+        out: list[tuple[int, bytes]] = []
+        if "members" in self.pieces:
+            for doubt in self.members.tick(now):
+                self.spread.tell(now, doubt)
+        if "evidence" in self.pieces:
+            for seen in self.evidence.news(now, self.members.boot):
+                self.spread.tell(now, seen)
+        if now >= self.beat_at:
+            # not in step with those that started at the same time
+            self.beat_at = now + PERIOD - int(PERIOD / 8 * self.chance.random())
+            self.members.beat += 1
+            others = self.members.others.values()
+            self.far.others([one.demand for one in others if one.demand])
+            self.near.others([one.demand for one in others if one.demand and one.location == self.here])
+            for place in self.greeted(now):
+                known = self.members.others.get(place)
+                self.send(now, out, place, [self.own_beat(now, known.beat if known else 0)], -wire.MOST)
+        if "shares" in self.pieces:
+            self.ask(now)
+        for place, item in self.private:
+            self.send(now, out, place, [item], wire.MOST)
+        self.private = []
+        for place in self.listeners(now):
+            if not self.spread.waiting:
+                break
+            self.send(now, out, place, [], 0)
+        return out, told
+
+    def greeted(self, now: int) -> list[int]:
+        """To whom a beat goes: the neighbours, and of one that starts a few others."""
+        places = list(self.members.watched)
+        if now - self.begun < PERIOD:
+            others = [place for place in range(self.members.told) if place not in (self.me, *places)]
+            places += self.chance.sample(others, min(HELLO, len(others)))
+        return places
+
+    def listeners(self, now: int) -> list[int]:
+        """Whom to tell what waits: one of this location, and one of all."""
+        found: list[int] = []
+        home = [place for place in self.places(True) if place != self.me]
+        for places in (home, [place for place in range(self.members.told) if place != self.me]):
+            living = self.members.living(now, places) if "members" in self.pieces else places
+            living = [place for place in living if place not in found]
+            if living:
+                found.append(self.chance.choice(living))
+        return found[:FANOUT]
+
+    def send(
+        self, now: int, out: list[tuple[int, bytes]], place: int, items: list[wire.Item], spare: int
+    ) -> None:
+        """`spare`: bytes of the budget that are left for what is more urgent."""
+        known = self.members.others.get(place)
+        location = known.location if known is not None else -1
+        used = HEAD + sum(wire.size(item) for item in items)
+        allowed = min(wire.MOST, self.spread.room(now, max(self.far.usual, self.far.demand(now))) - spare)
+        if allowed < used:
+            self.counted["held back"] += 1
+            return
+        news = self.spread.load(now, allowed - used, location)
+        if not items and not news:
+            return
+        self.number += 1
+        left = allowed - used - sum(wire.size(item) for item in news)
+        beats = any(isinstance(item, wire.Beat) for item in items)
+        whole = [*items, *news, *(self.riders(now, place, left) if beats else [])]
+        data = wire.pack(wire.Datagram(wire.FORM, self.name, self.me, self.members.boot, self.number, whole))
+        self.spread.sent(len(data))
+        self.counted["sent"] += 1
+        self.counted["bytes"] += len(data)
+        out.append((place, data))
+
+    def riders(self, now: int, place: int, most: int) -> list[wire.Beat]:
+        """Another's beat goes along, as one starts a few: who is where, and what is asked of all."""
+        count = min(RIDES if now - self.begun < HELLO_FOR else 1, most // RIDER)
+        there = [one for one in self.members.others if one != place] if count > 0 else []
+        found = []
+        for one in self.chance.sample(there, min(count, len(there))):
+            member = self.members.others[one]
+            demand = min(0xFFFFFFFF, int(member.demand * 100))
+            found.append(wire.Beat(one, member.boot, member.beat, member.location, demand))
+        return found
+
+    def ask(self, now: int) -> None:
+        """Asks for more where this gateway is asked for more than its part."""
+        for shares, home in ((self.near, True), (self.far, False)):
+            others = [
+                (place, self.members.others[place].demand if place in self.members.others else -1.0)
+                for place in self.places(home)
+                if place != self.me
+            ]
+            self.chance.shuffle(others)
+            self.private += shares.asks(now, others)
+
+    def verdicts(self, now: int) -> list[Told]:
+        told = []
+        while self.later and self.later[0][0] <= now:
+            told.append(Told(heappop(self.later)[1], "well"))
+        if "evidence" not in self.pieces:
+            return told
+        for source in list(self.evidence.bad_since):
+            if self.evidence.verdict(now, source) == "dead" and source not in self.opened:
+                self.opened[source] = now
+                told.append(Told(source, "dead"))
+        for source in [s for s in self.opened if s not in self.evidence.bad_since]:
+            del self.opened[source]
+        return told
+
+    def counts(self) -> dict[str, int | str]:
+        """For the counters' line."""
+        return {f"peers.{name.replace(' ', '_')}": count for name, count in sorted(self.counted.items())}
--- /dev/null
+++ b/damsonstream/peers/evidence.py
@@ -0,0 +1,189 @@
+"""What many gateways saw of a source or cache, merged without a coordinator. No I/O; time is handed in.
+
+How it is called: `saw(now, source, bad)` for each end of a forward that a breaker was told of; `heard(now,
+seen)` for what another tells; `news(now)` gives what is worth telling; `verdict(now, source)` is `dead`,
+`well` or nothing.
+
+What a gateway saw last of a source is one entry, (gateway, boot, number, good, bad): the bad ends in a row,
+or the good ones. A later number takes the place of an earlier one, so that entries may come in any order,
+twice or never. An entry fades with the window. None counts for more than `BOUND` ends, and three gateways
+must agree: one with a broken link, or one that lies, opens no source for all. Who gets an answer of a
+source after others called it dead says so, and what one has seen oneself since outweighs all that is told:
+what is well for most and dead for me is my path's trouble, and stays with my own breaker. Once enough
+agree, nobody adds to it or passes more on.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from damsonstream.peers import wire
+
+S = 10_000
+WINDOW = 3 * S  # as long as the breaker's own
+BOUND = 2  # of ends that one gateway's entry counts for, good or bad: what a gateway sees of one at full size
+AGREE = 3  # gateways that saw nothing but bad ends
+ALL_BAD = 0.8  # of the ends told, bounded: a crowded source that fails in part is each breaker's own matter
+OBJECT = S // 2  # for others to say that they saw good ends, before it counts: three ways through the fleet
+SOURCES, REPORTERS = 512, 32  # kept; of a source the entries heard last, of sources those heard of last
+MASK = (1 << 62) - 1  # later than any time
+QUIET = S // 2  # between two words of one gateway on one source
+
+
+@dataclass(slots=True)
+class Own:
+    """What this gateway saw of a source lately."""
+
+    ends: deque[tuple[int, bool]] = field(default_factory=deque)  # when, bad; emptied as the window rolls
+    said: tuple[int, int] = (0, 0)
+    said_at: int = -S
+    number: int = 0
+    location: int = wire.EVERYWHERE
+
+    def roll(self, now: int) -> tuple[int, int]:
+        """The run that it ends with: good ends, bad ends; one of them is 0."""
+        while self.ends and self.ends[0][0] <= now - WINDOW:
+            self.ends.popleft()
+        run = 0
+        for _, bad in reversed(self.ends):
+            if bad != self.ends[-1][1]:
+                break
+            run += 1
+        return (0, run) if self.ends and self.ends[-1][1] else (run, 0)
+
+    def good_since(self, when: int) -> bool:
+        return bool(self.ends) and not self.ends[-1][1] and self.ends[-1][0] > when
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """What another tells."""
+
+    boot: int
+    number: int
+    good: int
+    bad: int
+    at: int  # when it was heard
+
+    def before(self, other: Entry) -> bool:
+        return (self.boot, self.number) < (other.boot, other.number)
+
+
+def merged(mine: Mapping[int, Entry], theirs: Mapping[int, Entry]) -> dict[int, Entry]:
+    """Entries by gateway of two tables: of each the later one, of one and the same the one heard later."""
+    whole = dict(mine)
+    for place, entry in theirs.items():
+        known = whole.get(place)
+        if known is None or known.before(entry) or (not entry.before(known) and known.at < entry.at):
+            whole[place] = entry
+    return whole
+
+
+class Evidence:
+    KEPT = 64  # ends of one's own for one source
+
+    def __init__(self, me: int) -> None:
+        self.me = me
+        self.own: dict[int, Own] = {}  # by source; emptied as windows run dry
+        self.told: dict[int, dict[int, Entry]] = {}  # by source, by gateway; emptied by time and SOURCES
+        self.bad_since: dict[int, int] = {}  # since when enough agree; emptied as they no longer do
+
+    def saw(self, now: int, source: int, location: int, bad: bool) -> None:
+        own = self.own.setdefault(source, Own(location=location))
+        own.location = location
+        own.ends.append((now, bad))
+        if len(own.ends) > self.KEPT:
+            own.ends.popleft()
+
+    def heard(self, now: int, seen: wire.Seen) -> bool:
+        """Whether it is news."""
+        if seen.by == self.me:
+            return False
+        entries = self.told.get(seen.source)
+        if entries is None:
+            if len(self.told) >= SOURCES:
+                del self.told[min(self.told, key=lambda s: max(e.at for e in self.told[s].values()))]
+            entries = self.told[seen.source] = {}
+        entry = Entry(seen.boot, seen.beat, seen.good, seen.bad, now)
+        known = entries.get(seen.by)
+        if known is not None and not known.before(entry):
+            return False
+        entries[seen.by] = entry
+        if len(entries) > REPORTERS:
+            del entries[min(entries, key=lambda place: entries[place].at)]
+        self.weigh(now, seen.source)
+        return True
+
+    def tally(self, now: int, source: int) -> tuple[int, int, int]:
+        """What others tell: good and bad ends, each gateway's bounded; and how many saw only bad ones."""
+        good = bad = only = 0
+        entries = self.told.get(source, {})
+        for place in [place for place, entry in entries.items() if entry.at <= now - WINDOW]:
+            del entries[place]
+        if not entries:
+            self.told.pop(source, None)
+        for entry in entries.values():
+            good += min(BOUND, entry.good)
+            bad += min(BOUND, entry.bad)
+            only += entry.bad > 0 and not entry.good
+        return good, bad, only
+
+    def weigh(self, now: int, source: int) -> None:
+        good, bad, only = self.tally(now, source)
+        own = self.own.get(source)
+        own_bad = own.roll(now)[1] if own is not None else 0
+        only, bad = only + (own_bad > 0), bad + min(BOUND, own_bad)
+        seen_well = own is not None and own.good_since(self.first_bad(source))
+        if only >= AGREE and bad > ALL_BAD * (good + bad) and not seen_well:
+            self.bad_since.setdefault(source, now)
+        else:
+            self.bad_since.pop(source, None)
+
+    def first_bad(self, source: int) -> int:
+        """When the first of the bad words that still hold was heard."""
+        return min((e.at for e in self.told.get(source, {}).values() if e.bad), default=MASK)
+
+    def settled(self, now: int, seen: wire.Seen) -> bool:
+        """Whether enough say the same already."""
+        good, _, only = self.tally(now, seen.source)
+        return only > AGREE if seen.bad else good > AGREE * BOUND
+
+    def verdict(self, now: int, source: int) -> str:
+        if source in self.told:
+            self.weigh(now, source)
+        since = self.bad_since.get(source)
+        if since is not None and source not in self.told:
+            del self.bad_since[source]
+            since = None
+        if since is not None and now - since >= OBJECT:
+            return "dead"
+        good, bad, _ = self.tally(now, source)
+        return "well" if good >= AGREE and good > bad else ""
+
+    def clear(self, source: int) -> None:
+        """It runs anew, or a trial has shown it well: what was said before says nothing."""
+        self.own.pop(source, None)
+        self.told.pop(source, None)
+        self.bad_since.pop(source, None)
+
+    def news(self, now: int, boot: int) -> list[wire.Seen]:
+        """One's own windows that others should know: nothing but bad ends, or good ones of what others
+        call bad. Said again only when it has changed, and not at once."""
+        found = []
+        for source, own in list(self.own.items()):
+            good, bad = own.roll(now)
+            if not own.ends:
+                del self.own[source]
+                continue
+            same = (own.said[0] > 0, own.said[1] > 0) == (good > 0, bad > 0)
+            if now - own.said_at < (WINDOW // 2 if same else QUIET):
+                continue
+            seen = wire.Seen(self.me, boot, own.number + 1, source, own.location,
+                             min(255, good), min(255, bad))  # fmt: skip
+            answers = own.good_since(self.first_bad(source)) or own.said[1] > 0
+            if (bad or answers) and not self.settled(now, seen):
+                own.said, own.said_at, own.number = (good, bad), now, own.number + 1
+                found.append(seen)
+        return found
--- a/damsonstream/program/commands/root.py
+++ b/damsonstream/program/commands/root.py
@@ -13,6 +13,7 @@
 import click
 
 from damsonstream import __version__
+from damsonstream.program import own
 
 # name: module and attribute, one line of help
 COMMANDS = {
@@ -24,6 +25,10 @@
     "report": ("damsonstream.program.commands.report:report", "Tell an incident, phase by phase."),
     "traces": ("damsonstream.program.commands.traces:traces", "Read, make and replay published traces."),
     "tiers": ("damsonstream.program.commands.tiers:tiers", "Check and compare hierarchies of caches."),
+    "together": (
+        "damsonstream.program.commands.together:together",
+        "Play faults between several gateways.",
+    ),
     "console": ("damsonstream.program.commands.console:console", "Watch a fleet by its records."),
     "completion": (
         "damsonstream.program.commands.completion:completion",
@@ -75,9 +80,7 @@
     )  # fmt: skip
     @click.argument("arguments", nargs=-1, type=click.UNPROCESSED)
     def command(arguments: tuple[str, ...]) -> None:
-        from damsonstream.program import cli
-
-        sys.exit(cli.own([name, *arguments]))
+        sys.exit(own.run([name, *arguments]))
 
     return command
 
--- a/damsonstream/program/config.py
+++ b/damsonstream/program/config.py
@@ -42,6 +42,12 @@
     most_open: int  # GETs open at once
     drain_grace: int = 0  # the rules' figures, tenths of a millisecond, 0: not told; only records hold them
     purge_grace: int = 0
+    location: str = ""
+    peer_listen: tuple[str, int] | None = None  # None: no address for messages is told
+    peers: tuple[tuple[str, int], ...] = ()  # all gateways of the tier, by their numbers, this one included
+    place: int = 0  # this one's number
+    messages: bool = False  # whether gateways may send each other any
+    message_price: float = 0.0  # part of all revenue that one full message a GET costs
 
 
 def tenths(value: Any) -> int:
@@ -99,6 +105,8 @@
             most_open=int(limits.get("maxOpen", 1000)),
             drain_grace=tenths(told["settings"].get("rules", {}).get("stopSendingWithin", 0)),
             purge_grace=tenths(told["settings"].get("familyInfo", {}).get("noticeTime", 0)),
+            location=str(told["settings"].get("myZone", "")),
+            **peering(told),
         )
     except KeyError as fault:
         raise Unusable(f"The field {field} of the configuration lacks {fault}.") from fault
@@ -106,6 +114,21 @@
         raise Unusable(f"The field {field} of the configuration can't be used: {fault}.") from fault
 
 
+def peering(told: dict[str, Any]) -> dict[str, Any]:
+    """What concerns messages between gateways; a field that is there has to be usable."""
+    settings = told["settings"]
+    peers = tuple(address(one, f"peers[{n}]") for n, one in enumerate(told.get("peers", ())))
+    listen = address(told["peer_listen"], "peer_listen") if "peer_listen" in told else None
+    place = int(settings.get("ordinal", peers.index(listen) if listen in peers else 0))
+    if peers and not 0 <= place < len(peers):
+        raise Unusable(f"The field settings.ordinal is {place}, and peers names {len(peers)}.")
+    return {
+        "peer_listen": listen, "peers": peers, "place": place,
+        "messages": bool(settings.get("limits", {}).get("peerMessages", False)),
+        "message_price": float(settings.get("deductions", {}).get("peer", 0.0)),
+    }  # fmt: skip
+
+
 def restarts(old: Config, new: Config) -> list[str]:
     """What has changed besides the bulletin's address and the events known, which the bulletin tells."""
     names = (field.name for field in fields(Config) if field.name not in ("path", "feed", "last", "known"))
--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -23,11 +23,14 @@
 from damsonstream.protocol import bulletin, fastcgi, resp
 from damsonstream.routing import life
 from damsonstream.routing.gateway import TENTHS, Clock, Gateway
+from damsonstream.routing.interface import PeersTold
 from damsonstream.transport.caches import Caches
 from damsonstream.transport.feed import Feed
 from damsonstream.transport.front import Answer, Front
 
-if TYPE_CHECKING:  # only loaded where records are on: idle memory of a gateway must not rise
+if TYPE_CHECKING:  # only loaded where they are on: idle memory of a gateway must not rise
+    from damsonstream.peers.council import Told
+    from damsonstream.program.gathering import Gathering
     from damsonstream.records.recorder import Recorder
 
 log = logging.getLogger(__name__)
@@ -54,13 +57,20 @@
 
 
 class Server:
-    def __init__(self, config: Config, recorder: Recorder | None = None) -> None:
+    def __init__(
+        self, config: Config, recorder: Recorder | None = None, pieces: frozenset[str] | None = None
+    ) -> None:
+        """`pieces` of what gateways decide together; None: this one decides alone."""
         self.config, self.counters, self.recorder = config, Counters(), recorder
         count = self.counters.add
         memory = config.memory_mb * MB
         clients = config.sockets // CLIENTS
         cache_most = min(config.sockets - clients - RESERVED, memory // CACHE_BYTES // resp.MOST_BODY)
-        self.gateway = Gateway(config.seed, config.footprint, Clock(), recorder)
+        clock, self.gathering = Clock(), None
+        if pieces is not None:
+            self.gathering = self.join(pieces, clock)
+        fleet = self.gathering.council if self.gathering is not None else None
+        self.gateway = Gateway(config.seed, config.footprint, clock, recorder, fleet)
         self.caches = Caches(
             max(1, cache_most), config.streams, config.connect_timeout, config.idle - 1.0, count
         )
@@ -73,6 +83,14 @@
         for event in config.known:
             self.told(event, 0)
 
+    def join(self, pieces: frozenset[str], clock: Clock) -> Gathering | None:
+        from damsonstream.program import gathering
+
+        return gathering.begin(self.config, pieces, clock, self.peers_told)
+
+    def peers_told(self, told: Told) -> None:
+        self.gateway.tell(PeersTold(told.source, told.what))
+
     def told(self, event: bulletin.Event, number: int) -> None:
         if isinstance(event, bulletin.ListChanged):
             self.caches.listed(event)
@@ -146,7 +164,8 @@
         self.counters.peak("rss_mb", used.ru_maxrss // 1024)
         self.counters.peak("cpu_s", round(used.ru_utime + used.ru_stime, 2))
         records = self.recorder.counts() if self.recorder is not None else {}
-        log.info("counters", extra={**self.counters.lines(), **records})
+        peers = self.gathering.council.counts() if self.gathering is not None else {}
+        log.info("counters", extra={**self.counters.lines(), **records, **peers})
 
     def reloaded(self, outcome: str, what: str) -> None:
         if self.recorder is not None:
@@ -175,6 +194,8 @@
             log.info("reload", extra={"outcome": "used", "bulletin": fresh.feed, "restart_for": restart})
             self.reloaded("used", fresh.feed)
             self.feed.move(fresh.feed)
+            if self.gathering is not None:
+                self.gathering.moved(fresh)
 
     async def signals(self, received: AsyncIterator[signal.Signals], scope: anyio.CancelScope) -> None:
         async for number in received:
@@ -197,6 +218,11 @@
             server = await self.front.listen(host, port)
         except OSError as fault:
             raise Unusable(f"The field listen, {host}:{port}, can't be listened on: {fault}.") from fault
+        try:
+            if self.gathering is not None:
+                await self.gathering.open()
+        except OSError as fault:
+            raise Unusable(f"The field peer_listen can't be listened on: {fault}.") from fault
         taken = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
         with anyio.open_signal_receiver(*taken) as received:  # before anyone can see that it is ready
             async with anyio.create_task_group() as group:
@@ -208,6 +234,8 @@
                 group.start_soon(self.feed.follow)
                 if self.recorder is not None:
                     group.start_soon(self.pulse, self.recorder)
+                if self.gathering is not None:
+                    group.start_soon(self.gathering.run)
                 gc.collect()
                 gc.freeze()  # what was read at the start stays
                 gc.set_threshold(*GARBAGE)
@@ -215,6 +243,8 @@
                 known = {"listen": f"{host}:{port}", "known": config.last}
                 log.info("ready", extra={"name_": config.name, **known})
         server.close()
+        if self.gathering is not None:
+            self.gathering.close()
         for connection in (*self.front.clients, *self.caches.open):
             connection.end("stopped", flush=True)
         await anyio.sleep(0.01)  # each leaves its line
--- a/damsonstream/routing/interface.py
+++ b/damsonstream/routing/interface.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Protocol
 
 
 @dataclass(slots=True, frozen=True)
@@ -74,10 +75,38 @@
     since: int  # clock time of its last start, 0: long ago
 
 
+class Fleet(Protocol):
+    """What many gateways decide together, asked by the router (damsonstream/peers/council.py). A source or
+    cache goes by the low 32 bits of its hash; `home`: it is of this location, and so are those asked."""
+
+    def asked(self, now: int) -> None:
+        """A GET was taken."""
+
+    def listed(self, home: tuple[int, ...], far: tuple[int, ...]) -> None:
+        """The sources of the list."""
+
+    def anew(self, source: int) -> None:
+        """It runs as a new process."""
+
+    def saw(self, now: int, source: int, home: bool, bad: bool) -> None:
+        """A forward there ended, as its breaker was told."""
+
+    def turn(self, now: int, source: int, home: bool, since: int) -> bool:
+        """Whether it is this gateway's turn to try a Half-Open one whose cool-down was over then."""
+
+    def trying(self, now: int, source: int, home: bool) -> None: ...
+
+    def tried(self, now: int, source: int, home: bool, good: bool) -> None: ...
+
+    def part(self, now: int, home: bool) -> float:
+        """Its part of what holds for all gateways, of its location or of the fleet."""
+
+
 @dataclass(slots=True, frozen=True)
 class Started:
     seed: int
     footprint: Footprint
+    fleet: Fleet | None = None  # None: it decides alone
 
 
 @dataclass(slots=True, frozen=True)
@@ -132,12 +161,20 @@
     load: dict[str, float] = field(default_factory=dict)
 
 
+@dataclass(slots=True, frozen=True)
+class PeersTold:
+    """What the fleet found of a source: dead (enough saw nothing else), bad or well (by trials)."""
+
+    source: int
+    what: str
+
+
 @dataclass(slots=True, frozen=True)
 class Woken:
     pass
 
 
-Event = Started | ListTold | GetTaken | Purged | ClientLeft | AnswerStarted | ForwardEnded | Woken
+Event = Started | ListTold | GetTaken | Purged | ClientLeft | AnswerStarted | ForwardEnded | PeersTold | Woken
 
 
 @dataclass(slots=True, frozen=True)
--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -107,6 +107,13 @@
     def takes(self, now: int) -> float:
         return min(1.0, self.share * 2 ** min(9.0, (now - self.share_at) / DOUBLES))
 
+    def told(self, now: int, what: str) -> str:
+        """What other gateways' fills and trials showed."""
+        if what == "well" and self.state != "Closed":
+            self.reset()
+            return "Closed"
+        return self.open(now) if (what == "dead") == (self.state == "Closed") and what != "well" else ""
+
     def open(self, now: int) -> str:
         self.judged = (self.run, self.total[1], self.total[2])
         self.state, self.until = "Open", now + int(self.cool_down * (1 + JITTER * self.chance.draw()))
@@ -130,6 +137,7 @@
     def __init__(self, entry: i.Entry, role: str, chance: Chance) -> None:
         self.entry, self.role, self.name = entry, role, entry.cache
         self.hash, self.breaker = digest(entry.cache), Breaker(chance, role == "origin")
+        self.known, self.home = self.hash & 0xFFFFFFFF, role == "cache"  # as the fleet speaks of it
         self.active, self.left, self.out = False, False, 0  # forwards out to it, or naming it as source
         self.credit, self.credit_at = 0.0, -1  # sending time saved up for it while it is cold, and since when
         self.held, self.held_at = 0.0, -S  # GETs it holds for all gateways, as it told last, and when
@@ -198,6 +206,10 @@
                 self.taken(event)
             case i.ForwardEnded():
                 self.ended(event)
+            case i.PeersTold():
+                for node in self.nodes.values():
+                    if node.known == event.source and (event.what != "dead" or self.spared(node)):
+                        self.changed(node, node.breaker.told(now, event.what))
             case i.Purged():
                 key = event.thing or event.group
                 self.purges[key] = max(self.purges.get(key, 0), now - event.age)
@@ -211,7 +223,7 @@
         return self.actions
 
     def start(self, event: i.Started) -> None:
-        self.told, self.chance = event.footprint, Chance(event.seed)
+        self.told, self.chance, self.fleet = event.footprint, Chance(event.seed), event.fleet
         self.services = [Service(service) for service in self.told.services]
         self.nodes: dict[str, Node] = {}  # as long as the list, and the forwards still out
         self.caches, self.parents = tuple[Node, ...](), tuple[Node, ...]()
@@ -246,6 +258,8 @@
             node = self.nodes[entry.cache]
             if entry.since and entry.since != node.entry.since:
                 node.reset()  # a new process: what was seen of the old one says nothing
+                if self.fleet:
+                    self.fleet.anew(node.known)
             node.entry, node.active, node.left = entry, entry.state == "active", entry.state == "left"
             if node.role == "parent" and self.sized:  # 64 hold GETs back where one bears a thousand transfers
                 node.limit = max(64.0, 2.2 * entry.units / self.told.gateways)
@@ -253,9 +267,14 @@
         active = [n for n in self.nodes.values() if n.active]
         self.caches, self.parents = (tuple(n for n in active if n.role == r) for r in ("cache", "parent"))
         self.origin = next((n for n in active if n.role == "origin"), None)
+        if self.fleet:
+            far = (*self.parents, *([self.origin] if self.origin else []))
+            self.fleet.listed(tuple(n.known for n in self.caches), tuple(n.known for n in far))
         self.redispatch()
 
     def taken(self, event: i.GetTaken) -> None:
+        if self.fleet:
+            self.fleet.asked(self.now)
         service = self.services[event.service]
         size = int(event.size_kb / self.told.client_kb_per_s * S) if self.told.client_kb_per_s else 0
         service.mean += 0.02 * (size - service.mean) if size else 0.0
@@ -311,6 +330,8 @@
         for node in parts:
             node.out += 1
             node.breaker.trying |= node in trials
+            if self.fleet and node in trials:
+                self.fleet.trying(now, node.known, node.home)
             cost, node.credit = [float(now), get.service.mean], node.credit - get.service.mean
             node.spent.append(cost)
             while node.spent[0][0] < now - 3 * S:
@@ -380,6 +401,8 @@
 
     def allows(self, node: Node) -> bool:
         before, allowed = node.breaker.state, node.breaker.allows(self.now)
+        if self.fleet and allowed and node.breaker.state == "Half-Open":
+            allowed = self.fleet.turn(self.now, node.known, node.home, node.breaker.until)
         if node.breaker.state != before:
             self.actions.append(i.Trace(f"{node.role} {node.name} Half-Open"))
         return allowed
@@ -440,7 +463,8 @@
             return True
         parent = node.role == "parent"
         multiple = told.parent_cold_multiple if parent else told.cold_multiple
-        capacity = node.entry.units / (told.gateways if parent else told.location_gateways)
+        part = 1 / (told.gateways if parent else told.location_gateways)
+        capacity = node.entry.units * (self.fleet.part(self.now, not parent) if self.fleet else part)
         if not self.sized:  # no size told: what warm ones like it get from this gateway
             like = [n for n in (self.parents if parent else self.caches) if self.warmth(n) >= 1]
             asked = sum(cost for n in like for when, cost in n.spent if when > self.now - 3 * S)
@@ -491,9 +515,22 @@
         return source if any(n and n is not source and n.breaker.state == "Closed" for n in sources) else None
 
     def note(self, node: Node, weight: float, trial: bool) -> None:
-        if change := node.breaker.note(self.now, weight, trial):
+        half_open = trial and node.breaker.state == "Half-Open"
+        if self.fleet and half_open:
+            self.fleet.tried(self.now, node.known, node.home, weight < 1)
+        elif self.fleet:
+            self.fleet.saw(self.now, node.known, node.home, weight >= 1)
+        self.changed(node, node.breaker.note(self.now, weight, trial))
+
+    def changed(self, node: Node, change: str) -> None:
+        if change:
             self.actions.append(i.Trace(f"{node.role} {node.name} {change}", node.breaker.judged))
 
+    def spared(self, node: Node) -> bool:
+        """Whether another source is Closed, as the last one is not opened by what is told."""
+        others = (*self.parents, self.origin) if not node.home else ()
+        return node.home or any(n and n is not node and n.breaker.state == "Closed" for n in others)
+
     def ended(self, event: i.ForwardEnded) -> None:
         out = self.outs.pop((event.get, event.leg), None)
         if out is None:
--- a/damsonstream/settings/operator.py
+++ b/damsonstream/settings/operator.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from damsonstream.peers.pieces import PIECES
 from damsonstream.records.keeper import Limits
 from damsonstream.settings import kdl
 
@@ -29,6 +30,7 @@
 @dataclass(slots=True, frozen=True)
 class Operator:
     records: Records | None = None
+    peers: frozenset[str] | None = None  # pieces of what gateways decide together; None: each decides alone
 
 
 def records(section: kdl.Section) -> Records:
@@ -47,9 +49,16 @@
     return Records(Path(folder), limits, shift, drift)
 
 
+def peers(section: kdl.Section) -> frozenset[str]:
+    """Each piece is on unless it stands there as #false."""
+    found = frozenset(name for name in PIECES if section.flag(name, True))
+    section.finish()
+    return found
+
+
 def read(path: str) -> Operator:
     top = kdl.read(path)
-    told = top.section("records")
-    found = Operator(records(told) if told else None)
+    told, gather = top.section("records"), top.section("peers")
+    found = Operator(records(told) if told else None, peers(gather) if gather is not None else None)
     top.finish()
     return found
--- a/damsonstream/standins/clients.py
+++ b/damsonstream/standins/clients.py
@@ -104,6 +104,7 @@
         self, addresses: dict[str, tuple[str, int]], catalogue: Catalogue, now: Callable[[], float], seed: int
     ) -> None:
         self.addresses, self.catalogue, self.now = addresses, catalogue, now
+        self.weights: dict[str, float] = {}  # how many more viewers one has than another; empty: all alike
         self.chance = random.Random(seed)
         self.links: dict[str, list[GatewayLink]] = {name: [] for name in addresses}
         self.tries: list[Try] = []  # of a play, which is short
@@ -145,7 +146,10 @@
         up = [name for name, links in self.links.items() if any(not link.reason for link in links)]
         if not up:
             return None
-        links = [link for link in self.links[up[viewer % len(up)]] if not link.reason]
+        name = up[viewer % len(up)]
+        if self.weights:
+            name = self.chance.choices(up, [self.weights.get(one, 1.0) or 1e-9 for one in up])[0]
+        links = [link for link in self.links[name] if not link.reason]
         link = min(links, key=lambda link: len(link.open), default=None)
         return link if link is not None and len(link.open) < STREAMS else None
 
--- a/damsonstream/standins/servers.py
+++ b/damsonstream/standins/servers.py
@@ -180,9 +180,11 @@
         super().__init__()
         self.node, self.commands = node, wire.Commands()
         self.open: dict[bytes, anyio.CancelScope] = {}  # by id; emptied by answers and stops
+        self.sender: object = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        self.sender = transport.get_extra_info("peername")
         self.node.links.add(self)
 
     def ended(self) -> None:
@@ -233,7 +235,7 @@
         node, world, fields = self.node, self.node.world, command.fields
         condition = node.condition()
         key = (fields["kind"], fields["obj"], fields["seg"])
-        world.arrived(node, fields)
+        world.arrived(node, fields, self.sender)
         if world.chance.random() < condition.hang:
             await anyio.sleep(3600)
         full = node.under_way >= node.kind.lanes * (1 + QUEUE)
@@ -311,6 +313,8 @@
     def __init__(self, world: World) -> None:
         self.world = world
         self.events: list[wire.News] = []
+        self.others: list[Bulletin] = []  # tell the same events, to one gateway each
+        self.view: Callable[[wire.News], wire.News] = lambda news: news  # as its gateway is to see them
         self.links: set[BulletinLink] = set()
         self.server: asyncio.Server | None = None
         self.port = 0
@@ -322,15 +326,24 @@
 
     def publish(self, news: wire.News) -> int:
         self.events.append(news)
-        for link in self.links:
-            link.catch_up()
+        for one in (self, *self.others):
+            for link in one.links:
+                link.catch_up()
         return len(self.events)
 
+    def view_for(self, view: Callable[[wire.News], wire.News]) -> Bulletin:
+        """Another listener that tells the same."""
+        other = Bulletin(self.world)
+        other.events, other.view = self.events, view
+        self.others.append(other)
+        return other
+
     async def beat(self) -> None:
         while True:
             await anyio.sleep(1.0)
-            for link in self.links:
-                link.beat()
+            for one in (self, *self.others):
+                for link in one.links:
+                    link.beat()
 
 
 class BulletinLink(Link):
@@ -355,7 +368,7 @@
     def catch_up(self) -> None:
         while 0 <= self.told < len(self.bulletin.events):
             self.told += 1
-            self.send(wire.frame(self.told, self.bulletin.events[self.told - 1]))
+            self.send(wire.frame(self.told, self.bulletin.view(self.bulletin.events[self.told - 1])))
 
     def beat(self) -> None:
         if self.told >= 0:
@@ -402,6 +415,8 @@
         self.add(self.vault)
         self.bulletin = Bulletin(self)
         self.drained: dict[str, float] = {}  # node and when the bulletin said that it leaves
+        # of each forward as it comes: where, its fields, the address that it came from
+        self.witness: Callable[[Node, dict[str, str], object], None] = lambda node, fields, sender: None
 
     def add(self, node: Node) -> None:
         self.nodes[node.name] = node
@@ -422,8 +437,9 @@
         if len(self.faults) < 100:
             self.faults.append(text)
 
-    def arrived(self, node: Node, fields: dict[str, str]) -> None:
+    def arrived(self, node: Node, fields: dict[str, str], sender: object) -> None:
         """Truth about drains, seen where forwards arrive."""
+        self.witness(node, fields, sender)
         named = self.by_uid.get(fields.get("fetch", node.uid), node)
         for one in (node, named):
             since = self.drained.get(one.name)
@@ -487,7 +503,8 @@
     def close(self) -> None:
         for node in self.nodes.values():
             node.crash()
-        if self.bulletin.server is not None:
-            self.bulletin.server.close()
-        for link in list(self.bulletin.links):
-            link.end("stopped")
+        for one in (self.bulletin, *self.bulletin.others):
+            if one.server is not None:
+                one.server.close()
+            for link in list(one.links):
+                link.end("stopped")
--- /dev/null
+++ b/damsonstream/together/checks.py
@@ -0,0 +1,188 @@
+"""What a play of several processes has shown, against its bounds. No I/O.
+
+How it is called: `judge(check, seen)` gives a `Verdict`. All is taken from what stand-ins, relays and
+viewers wrote down, none from what a gateway says of itself. Bounds hold on a busy machine: counts and
+shares over whole spans, no exact times.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from damsonstream.peers import wire
+
+
+@dataclass(slots=True, frozen=True)
+class Check:
+    """A bound on a figure: `of` a node or gateway (empty: all), over a span of the play's seconds."""
+
+    name: str
+    of: str
+    start: float
+    end: float
+    least: float | None = None
+    most: float | None = None
+
+    def bound(self) -> str:
+        parts = [f"{word} {value:g}" for word, value in (("least", self.least), ("most", self.most))
+                 if value is not None]  # fmt: skip
+        return ", ".join(parts)
+
+
+@dataclass(slots=True, frozen=True)
+class Forwarded:
+    """A forward as it came: when, from which gateway, to which cache, and from where it is to be filled."""
+
+    at: float
+    gateway: str
+    cache: str
+    source: str
+
+
+@dataclass(slots=True, frozen=True)
+class Tried:
+    """A viewer's GET: when it was sent, to which gateway, and how it ended."""
+
+    at: float
+    gateway: str
+    outcome: str
+
+
+@dataclass(slots=True)
+class Seen:
+    """What was written down in a play."""
+
+    names: list[str]
+    forwards: list[Forwarded] = field(default_factory=list)
+    tries: list[Tried] = field(default_factory=list)
+    told: list[tuple[float, str, wire.Item]] = field(default_factory=list)  # when, by whom it was sent
+    datagrams: list[tuple[float, str, int]] = field(default_factory=list)  # when, by whom, bytes
+    opened: list[tuple[float, str, str]] = field(default_factory=list)  # connections: when, by whom, to whom
+    known: dict[str, int] = field(default_factory=dict)  # what a node is called in datagrams
+    faults: list[str] = field(default_factory=list)
+
+    def named(self, check: Check) -> list[Forwarded]:
+        """Forwards in its span that went to a node, or named it as source."""
+        span = [one for one in self.forwards if check.start <= one.at < check.end]
+        return [one for one in span if not check.of or check.of in (one.cache, one.source)]
+
+    def items(self, check: Check, kind: type[wire.Item]) -> list[tuple[str, wire.Item]]:
+        return [
+            (by, item)
+            for at, by, item in self.told
+            if check.start <= at < check.end and isinstance(item, kind)
+        ]
+
+    def ends(self, check: Check) -> list[Tried]:
+        return [t for t in self.tries if check.start <= t.at < check.end and check.of in ("", t.gateway)]
+
+
+def asked(check: Check, seen: Seen) -> float:
+    return len(seen.named(check))
+
+
+def asked_by(check: Check, seen: Seen) -> float:
+    return len({forward.gateway for forward in seen.named(check)})
+
+
+def asked_a_second(check: Check, seen: Seen) -> float:
+    times = sorted(forward.at for forward in seen.named(check))
+    most, first = 0, 0
+    for last, at in enumerate(times):
+        while times[first] <= at - 1.0:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+def share(outcome: str) -> Callable[[Check, Seen], float]:
+    def count(check: Check, seen: Seen) -> float:
+        ends = seen.ends(check)
+        return sum(one.outcome == outcome for one in ends) / len(ends) if ends else 0.0
+
+    return count
+
+
+def number(check: Check, seen: Seen) -> float:
+    return len(seen.ends(check))
+
+
+def doubted_by(check: Check, seen: Seen) -> float:
+    """Gateways that said they no longer hear it."""
+    place = seen.names.index(check.of) if check.of else -1
+    return len({item.by for _, item in seen.items(check, wire.Doubt)
+                if isinstance(item, wire.Doubt) and item.of == place})  # fmt: skip
+
+
+def others_doubted(check: Check, seen: Seen) -> float:
+    """Other gateways that two or more no longer hear."""
+    doubts: dict[int, set[int]] = {}
+    for _, item in seen.items(check, wire.Doubt):
+        if isinstance(item, wire.Doubt) and seen.names[item.of] != check.of:
+            doubts.setdefault(item.of, set()).add(item.by)
+    return sum(len(by) > 1 for by in doubts.values())
+
+
+def tried_by(check: Check, seen: Seen) -> float:
+    """Gateways that told of a trial of it."""
+    return len({item.by for _, item in seen.items(check, wire.Trial)
+                if isinstance(item, wire.Trial) and item.source == seen.known.get(check.of)})  # fmt: skip
+
+
+def lent(check: Check, seen: Seen) -> float:
+    """Leases that were granted, counted once each."""
+    return len(
+        {(by, item.lease) for by, item in seen.items(check, wire.Grant) if isinstance(item, wire.Grant)}
+    )
+
+
+def datagram_bytes(check: Check, seen: Seen) -> float:
+    """Bytes a second that one gateway sent, the mean of the span; of one, or of the one that sent most."""
+    totals: dict[str, int] = {}
+    for at, by, size in seen.datagrams:
+        if check.start <= at < check.end and check.of in ("", by):
+            totals[by] = totals.get(by, 0) + size
+    return max(totals.values(), default=0) / max(0.001, check.end - check.start)
+
+
+def connections(check: Check, seen: Seen) -> float:
+    return sum(check.start <= at < check.end and check.of in ("", b) for at, _, b in seen.opened)
+
+
+CHECKS: dict[str, Callable[[Check, Seen], float]] = {
+    "asked": asked,
+    "asked-by": asked_by,
+    "asked-a-second": asked_a_second,
+    "returned": share("returned"),
+    "shed": share("shed"),
+    "errored": share("errored"),
+    "late": share("late"),
+    "gets": number,
+    "doubted-by": doubted_by,
+    "others-doubted": others_doubted,
+    "tried-by": tried_by,
+    "lent": lent,
+    "bytes": datagram_bytes,
+    "connections": connections,
+}
+
+
+@dataclass(slots=True, frozen=True)
+class Verdict:
+    name: str
+    bound: str
+    seen: float
+    kept: bool
+
+
+def judge(check: Check, seen: Seen) -> Verdict:
+    figure = CHECKS[check.name](check, seen)
+    kept = (check.least is None or figure >= check.least) and (check.most is None or figure <= check.most)
+    name = f"{check.name} {check.of or 'all'} {check.start:g} to {check.end:g} s"
+    return Verdict(name, check.bound(), round(figure, 4), kept)
+
+
+def always(seen: Seen) -> Verdict:
+    """What holds in every play: nothing that the protocol forbids, no effect twice."""
+    return Verdict("faults that stand-ins saw", "most 0", len(seen.faults), not seen.faults)
