Peers: a good trial of one ends the others' cool-down, two close for all; what is known is not told again

Change: the first good trial told makes each gateway's next fill its own trial; results that are known are not told. Subsets keep connections; relays hand on what came early in order; ports below those that the system gives out.

--- a/damsonstream/demo/fleet.py
+++ b/damsonstream/demo/fleet.py
@@ -9,6 +9,7 @@
 
 import json
 import os
+import secrets
 import signal
 import socket
 import subprocess
@@ -28,12 +29,20 @@
 END = 8.0  # seconds for it to end after SIGTERM
 
 
-def free_port() -> int:
-    with socket.socket() as one:
-        one.bind((LOOPBACK, 0))
-        port = one.getsockname()[1]
-        assert isinstance(port, int)
-        return port
+PORTS = range(12_000, 30_000)  # below those that the system gives out by itself, and so takes meanwhile
+
+
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    """One that nobody has just now; drawn, so that plays side by side rarely meet."""
+    for _ in range(1000):
+        port = secrets.choice(PORTS)
+        with socket.socket(socket.AF_INET, kind) as one:
+            try:
+                one.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            return port
+    raise OSError("no port is free")
 
 
 def command() -> list[str]:
--- a/damsonstream/peers/council.py
+++ b/damsonstream/peers/council.py
@@ -32,14 +32,14 @@
 RIDES, RIDER = 4, 24  # beats of others in such a datagram, and the bytes of one at most
 KNOWN = 2 * S  # before, nobody can say what a gateway that starts is asked for: it tells none
 HEAD = 40  # bytes of a datagram without items, at most
-WATCH = 8  # gateways that look after one cache or source, from whom its trials come
+WATCH = 3  # gateways that look after one cache or source, from whom its trials come: two may be silent
 STALLED = 5 * TURN  # without a turn of its own: this process stood still, and what waits in its socket is old
 OLD = 2 * TURN  # after such a standstill, for which what comes is counted as old and not believed
 AHEAD = 864_000  # of one's own boot, a day in tenths of a second: a later one is nonsense
 
 
 class Told:
-    """What the router is to hear: a source by the low half of its hash, and dead, bad or well."""
+    """What the router is to hear: a source by the low half of its hash, and dead, bad, good or well."""
 
     __slots__ = ("source", "what")
 
@@ -102,7 +102,9 @@
     def trying(self, now: int, source: int, home: bool) -> None:
         if "turns" in self.pieces:
             location = self.here if home else wire.EVERYWHERE
-            self.spread.tell(now, self.turns.began(now, source, location, self.members.boot))
+            word = self.turns.began(now, source, location, self.members.boot)
+            if word is not None:
+                self.spread.tell(now, word)
 
     def tried(self, now: int, source: int, home: bool, good: bool) -> None:
         if good:
@@ -110,7 +112,9 @@
             self.opened.pop(source, None)
         if "turns" in self.pieces:
             location = self.here if home else wire.EVERYWHERE
-            self.spread.tell(now, self.turns.ended(now, source, location, self.members.boot, good))
+            word = self.turns.ended(now, source, location, self.members.boot, good)
+            if word is not None:
+                self.spread.tell(now, word)
 
     def part(self, now: int, home: bool) -> float:
         return (self.near if home else self.far).part(now)
@@ -124,17 +128,26 @@
         others = self.members.others
         return sorted([self.me, *(place for place, one in others.items() if one.location == self.here)])
 
+    def looked_after(self, source: int, home: bool) -> list[int]:
+        """The gateways that look after it; empty: all alike."""
+        if "subsets" not in self.pieces:
+            return []
+        places = tuple(self.places(home))
+        of, watch = self.watch.get(home, ((), {}))
+        if of != places:
+            watch = assigned(places, self.sources[home], WATCH)
+            self.watch[home] = places, watch
+        return watch.get(source) or order.first(places, source, WATCH)
+
+    def keeps(self, source: int) -> bool:
+        """Whether this gateway looks after a cache of its location, and so keeps connections to it."""
+        return self.me in (self.looked_after(source, True) or [self.me])
+
     def candidates(self, now: int, source: int, home: bool) -> list[int]:
         """From whom a source's trials come: those that look after it, as far as they live."""
-        places = self.places(home)
-        if "subsets" in self.pieces:
-            of, watch = self.watch.get(home, ((), {}))
-            if of != tuple(places):
-                watch = assigned(places, self.sources[home], WATCH)
-                self.watch[home] = tuple(places), watch
-            places = watch.get(source) or order.first(places, source, WATCH)
+        places = self.looked_after(source, home) or self.places(home)
         if "members" in self.pieces:
-            places = self.members.living(now, places)
+            places = self.members.living(now, places) or [self.me]
         return places
 
     def listed(self, home: tuple[int, ...], far: tuple[int, ...]) -> None:
@@ -215,14 +228,14 @@
         return []
 
     def shown(self, now: int, source: int, shows: str) -> list[Told]:
-        if shows == "bad":
-            return [Told(source, "bad")]
-        if shows == "good":
+        """What a trial of another means for this gateway: at once, or as it is its turn to come back."""
+        if shows in ("good", "well"):
             self.evidence.clear(source)
             self.opened.pop(source, None)
-            if self.turns.closes(now, source):
-                heappush(self.later, (now + self.turns.back(source), source))
-        return []
+        if shows == "well":
+            heappush(self.later, (now + self.turns.back(source), source))
+            return []
+        return [Told(source, shows)] if shows else []
 
     def own_beat(self, now: int, echo: int = 0) -> wire.Beat:
         members = self.members
--- a/damsonstream/program/commands/together.py
+++ b/damsonstream/program/commands/together.py
@@ -4,6 +4,7 @@
 
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
 
 import anyio
@@ -53,6 +54,10 @@
     found = rig.result(told, off, seen, began)
     for one in found.checks:
         click.echo(f"  {'kept  ' if one.kept else 'BROKEN'}  {one.name}: {one.seen:g} ({one.bound})")
+    for text in checks.told(seen):
+        click.echo(f"          {text}")
+    ended = Counter(one.outcome or "open" for one in seen.tries)
+    click.echo("GETs: " + ", ".join(f"{count} {name}" for name, count in ended.most_common()))
     click.echo(found.verdict)
     if json_file is not None:
         try:
--- a/damsonstream/program/gathering.py
+++ b/damsonstream/program/gathering.py
@@ -14,6 +14,7 @@
 from damsonstream.peers.council import TURN, Council, Told
 from damsonstream.program.config import Config
 from damsonstream.routing.gateway import NS, TENTHS, Clock
+from damsonstream.routing.router import digest
 from damsonstream.transport.peers import Peers
 
 log = logging.getLogger(__name__)
@@ -35,6 +36,9 @@
         assert config.peer_listen is not None
         self.peers = Peers(config.peer_listen, config.peers, self.heard)
 
+    def keeps(self, cache: str) -> bool:
+        return self.council.keeps(digest(cache) & 0xFFFFFFFF)
+
     async def open(self) -> None:
         await self.peers.open()
 
--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -74,6 +74,8 @@
         self.caches = Caches(
             max(1, cache_most), config.streams, config.connect_timeout, config.idle - 1.0, count
         )
+        if self.gathering is not None:
+            self.caches.keeps = self.gathering.keeps
         self.front = Front(max(1, clients), memory // CLIENT_BYTES, self.open_get, count)
         self.services = {service.name.encode(): n for n, service in enumerate(config.footprint.services)}
         self.lives = life.Lives(self.gateway, self.caches.send)
--- a/damsonstream/routing/interface.py
+++ b/damsonstream/routing/interface.py
@@ -163,7 +163,8 @@
 
 @dataclass(slots=True, frozen=True)
 class PeersTold:
-    """What the fleet found of a source: dead (enough saw nothing else), bad or well (by trials)."""
+    """What the fleet found of a source: dead (enough saw nothing else), or by trials of others: bad, good
+    (one), well (as many as the design asks for)."""
 
     source: int
     what: str
--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -109,10 +109,15 @@
 
     def told(self, now: int, what: str) -> str:
         """What other gateways' fills and trials showed."""
-        if what == "well" and self.state != "Closed":
-            self.reset()
-            return "Closed"
-        return self.open(now) if (what == "dead") == (self.state == "Closed") and what != "well" else ""
+        if what in ("good", "well"):
+            if self.state == "Closed":
+                return ""
+            if what == "well":
+                self.reset()
+            else:  # it counts as one of the trials, and ends the cool-down: the next fill is another
+                self.state, self.good, self.trying, self.until = "Half-Open", 1, False, now
+            return self.state
+        return self.open(now) if (what == "dead") == (self.state == "Closed") else ""
 
     def open(self, now: int) -> str:
         self.judged = (self.run, self.total[1], self.total[2])
--- a/damsonstream/together/checks.py
+++ b/damsonstream/together/checks.py
@@ -59,6 +59,7 @@
     told: list[tuple[float, str, wire.Item]] = field(default_factory=list)  # when, by whom it was sent
     datagrams: list[tuple[float, str, int]] = field(default_factory=list)  # when, by whom, bytes
     opened: list[tuple[float, str, str]] = field(default_factory=list)  # connections: when, by whom, to whom
+    closed: list[tuple[float, str, str]] = field(default_factory=list)
     known: dict[str, int] = field(default_factory=dict)  # what a node is called in datagrams
     faults: list[str] = field(default_factory=list)
 
@@ -130,6 +131,15 @@
                 if isinstance(item, wire.Trial) and item.source == seen.known.get(check.of)})  # fmt: skip
 
 
+def sources_tried(check: Check, seen: Seen) -> float:
+    """Different sources of which one gateway told a trial, of the one that tried most."""
+    tried: dict[int, set[int]] = {}
+    for _, item in seen.items(check, wire.Trial):
+        if isinstance(item, wire.Trial):
+            tried.setdefault(item.by, set()).add(item.source)
+    return max((len(sources) for sources in tried.values()), default=0)
+
+
 def lent(check: Check, seen: Seen) -> float:
     """Leases that were granted, counted once each."""
     return len(
@@ -150,6 +160,16 @@
     return sum(check.start <= at < check.end and check.of in ("", b) for at, _, b in seen.opened)
 
 
+def held(check: Check, seen: Seen) -> float:
+    """Connections that gateways hold to a node, the mean of the span; of the cache that has most."""
+    totals: dict[str, float] = {}
+    for ends, sign in ((seen.opened, 1.0), (seen.closed, -1.0)):
+        for at, _, b in ends:
+            if check.of == b or (not check.of and b.startswith("cache")):
+                totals[b] = totals.get(b, 0.0) + sign * max(0.0, check.end - max(at, check.start))
+    return max(totals.values(), default=0.0) / max(0.001, check.end - check.start)
+
+
 CHECKS: dict[str, Callable[[Check, Seen], float]] = {
     "asked": asked,
     "asked-by": asked_by,
@@ -162,9 +182,11 @@
     "doubted-by": doubted_by,
     "others-doubted": others_doubted,
     "tried-by": tried_by,
+    "sources-tried": sources_tried,
     "lent": lent,
     "bytes": datagram_bytes,
     "connections": connections,
+    "held": held,
 }
 
 
@@ -183,6 +205,11 @@
     return Verdict(name, check.bound(), round(figure, 4), kept)
 
 
+def told(seen: Seen) -> list[str]:
+    """The first few of what stand-ins saw that is not allowed."""
+    return seen.faults[:3]
+
+
 def always(seen: Seen) -> Verdict:
     """What holds in every play: nothing that the protocol forbids, no effect twice."""
     return Verdict("faults that stand-ins saw", "most 0", len(seen.faults), not seen.faults)
--- a/damsonstream/together/relay.py
+++ b/damsonstream/together/relay.py
@@ -129,6 +129,9 @@
         self.stream.ends.add(self)
         if not self.forth:
             self.stream.out.add(transport.get_extra_info("sockname"))
+            for data in self.early:  # before anything that comes later
+                self.transport.write(data)
+            self.early.clear()
         else:
             self.stream.opened.append(self.stream.clock())
             self.stream.connect(self)
@@ -138,6 +141,8 @@
 
     def connection_lost(self, fault: Exception | None) -> None:
         self.stream.ends.discard(self)
+        if self.forth:
+            self.stream.closed.append(self.stream.clock())
         if self.other is not None and self.other.transport is not None:
             self.other.transport.abort() if fault else self.other.transport.close()
 
@@ -159,6 +164,7 @@
         self.a, self.b, self.target, self.links, self.clock, self.chance = a, b, target, links, clock, chance
         self.ends: set[End] = set()
         self.opened: list[float] = []  # when the gateway opened each connection
+        self.closed: list[float] = []  # and when each ended
         self.out: set[Address] = set()  # from where the other party has seen this gateway come
         self.tasks: set[asyncio.Task[None]] = set()  # connections under way
         self.server: asyncio.Server | None = None
@@ -190,10 +196,6 @@
             except OSError:
                 if end.transport is not None:
                     end.transport.abort()
-                return
-            for data in other.early:
-                other.write(data)
-            other.early.clear()
 
         other = end.other
         task = asyncio.get_running_loop().create_task(reach())
--- a/damsonstream/together/rig.py
+++ b/damsonstream/together/rig.py
@@ -19,14 +19,14 @@
 import msgspec
 
 from damsonstream.demo import play as demo
-from damsonstream.demo.fleet import Fleet
+from damsonstream.demo.fleet import Fleet, free_port
 from damsonstream.demo.scenario import Scenario
 from damsonstream.peers.pieces import PIECES
 from damsonstream.routing.router import digest
 from damsonstream.standins import wire
 from damsonstream.standins.clients import Front
 from damsonstream.standins.faults import Plan
-from damsonstream.standins.servers import LOOPBACK, Node, Shape, World
+from damsonstream.standins.servers import LOOPBACK, Kind, Node, Shape, World
 from damsonstream.standins.traffic import GROUPS, Catalogue, arrivals
 from damsonstream.together.checks import Forwarded, Seen, Tried, Verdict, always, judge
 from damsonstream.together.links import Links
@@ -39,18 +39,12 @@
 PRICE = 0.01  # as the settings tell it: part of all revenue for one full message a GET
 
 
-def free_udp() -> int:
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as one:
-        one.bind((LOOPBACK, 0))
-        return int(one.getsockname()[1])
-
-
 class Rig:
     def __init__(self, script: Script, without: frozenset[str], folder: Path, seed: int) -> None:
         self.script, self.names = script, list(script.gateways)
         self.chance = random.Random(seed)
         self.catalogue = Catalogue(demo.OFFERS, seed)
-        shape = Shape(1, script.caches, script.hubs)
+        shape = Shape(1, script.caches, script.hubs, Kind("cache", 6 << 20, script.lanes))
         self.world = World(shape, Plan(script.nodes), seed, self.catalogue.describe, demo.REMEMBERED)
         self.world.witness = self.saw
         self.links = Links(script.links)
@@ -62,7 +56,7 @@
         pieces = "".join(f"    {piece} #{str(piece not in without).lower()}\n" for piece in PIECES)
         self.fleet = Fleet(folder, folder / "records", self.names, (), self.settings,
                            f"peers {{\n{pieces}}}\n")  # fmt: skip
-        self.peer_ports = {name: free_udp() for name in self.names}
+        self.peer_ports = {name: free_port(socket.SOCK_DGRAM) for name in self.names}
         self.front = Front(self.fleet.addresses, self.catalogue, self.world.now, seed + 1)
         self.front.weights = script.weights
         self.seen = Seen(self.names)
@@ -88,7 +82,10 @@
         }
         told["settings"] |= {"ordinal": self.names.index(name), "deductions": {"peer": PRICE}}
         told["settings"]["limits"]["peerMessages"] = True
-        told["settings"]["rules"]["warmWithin"] = int(self.script.warm * 1e6)
+        starts, falls = self.script.cold
+        told["settings"]["rules"] |= {
+            "warmWithin": int(self.script.warm * 1e6), "startCapacity": starts, "fallMultiple": falls
+        }  # fmt: skip
         return told
 
     def saw(self, node: Node, fields: dict[str, str], sender: object) -> None:
@@ -200,6 +197,7 @@
         seen.told = [(passed.at, passed.a, item) for passed, item in self.datagrams.items()]
         seen.datagrams = [(passed.at, passed.a, len(passed.data)) for passed in self.datagrams.log]
         seen.opened = [(at, a, b) for (a, b), stream in self.streams.items() for at in stream.opened]
+        seen.closed = [(at, a, b) for (a, b), stream in self.streams.items() for at in stream.closed]
         seen.known = {node.name: digest(node.uid) & 0xFFFFFFFF for node in world.nodes.values()}
         seen.faults = [*world.faults, *self.front.faults, *world.effects.doubles]
 
--- a/damsonstream/together/script.py
+++ b/damsonstream/together/script.py
@@ -46,7 +46,11 @@
     weights: dict[str, float]  # of viewers, by gateway
     caches: int
     hubs: int
-    warm: float  # seconds in which a cache that starts gets warm
+    warm: float  # seconds in which a cache that starts gets warm, as gateways are told
+    cold: tuple[
+        float, float
+    ]  # told too: the part of its capacity that it starts with, and what pushes it over
+    lanes: int  # GETs that a cache has under way at once
     nodes: tuple[Fault, ...]
     links: tuple[links.LinkFault, ...]
     steps: tuple[Step, ...]
@@ -98,7 +102,8 @@
     found = Script(
         Path(path).stem, top.text("about", Path(path).stem), piece, lasts,
         top.number("rate", 60, 1, 2000), gateways, weights, caches, hubs,
-        top.span("warm", 4.0), tuple(faults), tuple(between),
+        top.span("warm", 4.0), (top.number("starts-at", 0.3, 0, 1), top.number("falls-at", 4.0, 1, 100)),
+        int(top.number("lanes", 24, 1, 1000)), tuple(faults), tuple(between),
         tuple(sorted(steps, key=lambda step: (step.at, step.does, step.to))),
         tuple(check(section, lasts, nodes, gateways) for section in top.all("check")),
     )  # fmt: skip
--- a/damsonstream/transport/caches.py
+++ b/damsonstream/transport/caches.py
@@ -27,6 +27,7 @@
 # none is left: what is out may still be answered. Guards against one that stays open and is of no use: every
 # trial of a cache went out on it, so that its breaker never closed. Costs one more where a cache thinks long.
 QUIET = 1.0
+PASSING = 1.0  # seconds without use for which one is kept to a cache that others look after
 SWEEP = 0.25  # seconds between looks at the connections
 UNREAD = 1 << 18  # bytes that a cache has not read: a connection with more takes nothing new
 SPENT = 256  # idents remembered as over on a connection: late answers to them come within a few GETs' time
@@ -129,6 +130,7 @@
     ) -> None:
         self.most, self.streams, self.connect_timeout, self.idle = most, streams, connect_timeout, idle
         self.counted = count
+        self.keeps: Callable[[str], bool] = lambda cache: True  # whether idle connections to it are kept
         self.pools: dict[str, Pool] = {}  # by cache; as long as the list
         self.open: dict[Connection, None] = {}  # also of caches no longer listed; emptied as they end
         self.group: TaskGroup | None = None
@@ -193,14 +195,15 @@
             while True:
                 await anyio.sleep(SWEEP)
                 now = time.monotonic()
-                before = now - self.idle
                 for connection in list(self.open):
                     if connection.decoder.half and connection.used < now - STALLED:
                         connection.end("stalled")
                     elif not connection.legs and connection.quiet:
                         connection.end("quiet")
-                    elif not connection.legs and (connection.used < before or connection.retired):
-                        connection.end(connection.retired or "idle")
+                    elif not connection.legs:
+                        kept = self.idle if self.keeps(connection.pool.cache) else min(self.idle, PASSING)
+                        if connection.retired or connection.used < now - kept:
+                            connection.end(connection.retired or "idle")
 
     async def serve(self, connection: Connection) -> None:
         """One connection, from its opening to its end."""
--- a/damsonstream/virtual/fleet.py
+++ b/damsonstream/virtual/fleet.py
@@ -170,6 +170,8 @@
             self.open(switch)
         elif what == "well" and switch.open:
             switch.open, switch.run, switch.good = False, 0, 0
+        elif what == "good" and switch.open:
+            switch.good, switch.trying, switch.until = 1, False, self.now
 
     def open(self, switch: Switch) -> None:
         if not switch.open:
