Records, console and log tell what peers believe, hold and try; a trial's word holds for half a second

The records (kind turn) show 13 trials begun by one gateway and none that proved anything: they were hits at the cache, and each held the others back for 2 s (turns.py, HELD). Change: HELD is a fill's usual time, half a second; new records peers, told, turn; a table in the console.

--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -59,8 +59,16 @@
     one.dead.clear()
     one.until(30 * S)
     told = sum(gateway.bytes_out for gateway in one.gateways) / count / 30
-    return {"known": known, "at 10 s": curve[-1], "wasted": wasted / count, "trials": trials / count, "bytes": told,
-            "sum": max(one.worst.values()), "fair": fair, "open at 30 s": one.know(0)}  # fmt: skip
+    return {
+        "known": known,
+        "at 10 s": curve[-1],
+        "wasted": wasted / count,
+        "trials": trials / count,
+        "bytes": told,
+        "sum": max(one.worst.values()),
+        "fair": fair,
+        "open at 30 s": one.know(0),
+    }
 
 
 def main() -> None:
--- a/damsonstream/console/app.py
+++ b/damsonstream/console/app.py
@@ -110,6 +110,7 @@
                 ("gateways", text.GATEWAYS),
                 ("nodes", text.NODES),
                 ("services", text.SERVICES),
+                ("peers", text.PEERS),
             ):
                 table = Rows(id=name, cursor_type="row", zebra_stripes=False, cell_padding=1)
                 table.add_columns(*head)
@@ -154,6 +155,8 @@
         nodes = sorted(view.nodes, key=lambda row: (row.worst == "Closed", row.bad == 0))
         self.fill("nodes", [text.node(row) for row in nodes])
         self.fill("services", [text.service(row) for row in view.services])
+        self.fill("peers", [text.peers(row) for row in view.peers])
+        self.query_one("#peers").display = bool(view.peers)
         shown = [text.event(at, one) for at, one in view.events if self.holds(one.text + one.gateway)]
         events = self.query_one("#events", Static)
         wide = max(20, events.size.width - 1)
--- a/damsonstream/console/history.py
+++ b/damsonstream/console/history.py
@@ -63,6 +63,22 @@
         default_factory=dict
     )  # GETs: taken, service; emptied as they end
     services: list[model.Service] = field(default_factory=list)
+    peers: list[model.Peers] = field(default_factory=list)  # one in some seconds; thinned as they grow many
+
+
+@dataclass(slots=True, frozen=True)
+class PeersRow:
+    """What one gateway believes of the others."""
+
+    name: str
+    standing: str
+    silent: list[int]
+    near: float  # its parts of common caps
+    far: float
+    lent: float
+    borrowed: float
+    sent: int
+    heard: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -113,6 +129,7 @@
     nodes: list[NodeRow]
     services: list[ServiceRow]
     events: list[tuple[int, Event]]  # fleet time; the latest last
+    peers: list[PeersRow] = field(default_factory=list)  # of gateways that tell one another anything
 
     @property
     def worst(self) -> str:
@@ -200,6 +217,15 @@
                 if len(boot.pulses) > 8192:
                     del boot.pulses[:4096:2]
                 return
+            case model.Peers():
+                before = gateway.peers[-1].standing if gateway.peers else "well"
+                gateway.peers.append(record)
+                if len(gateway.peers) > 4096:
+                    del gateway.peers[:2048:2]
+                if record.standing == before:
+                    return
+            case model.Told() | model.Turn():
+                node = record.node
             case model.Began():
                 gateway.services = record.services
                 self.models = (record.parent_model, record.origin_model)
@@ -290,7 +316,18 @@
             if when <= at:
                 events.append((when, event))
         events.sort(key=lambda pair: pair[0])
-        return View(at, rows, self.node_rows(gateways, locals_), self.service_rows(gateways, locals_), events)
+        nodes, services = self.node_rows(gateways, locals_), self.service_rows(gateways, locals_)
+        return View(at, rows, nodes, services, events, self.peers_rows(gateways, locals_))
+
+    def peers_rows(self, gateways: list[Gateway], locals_: dict[str, int]) -> list[PeersRow]:
+        rows = []
+        for one in gateways:
+            place = bisect_right([record.at for record in one.peers], locals_[one.name])
+            if place:
+                r = one.peers[place - 1]
+                rows.append(PeersRow(one.name, r.standing, list(r.silent), r.near / 1e6, r.far / 1e6,
+                                     r.lent / 1e6, r.borrowed / 1e6, r.sent, r.heard))  # fmt: skip
+        return rows
 
     def rate(self, gateway: Gateway, local: int, key: tuple[str, str]) -> float:
         return gateway.rates.total(key, local - WINDOW, local) / WINDOW * S
--- a/damsonstream/console/text.py
+++ b/damsonstream/console/text.py
@@ -9,12 +9,13 @@
 from collections.abc import Sequence
 from datetime import UTC, datetime
 
-from damsonstream.console.history import Event, GatewayRow, NodeRow, ServiceRow, View
+from damsonstream.console.history import Event, GatewayRow, NodeRow, PeersRow, ServiceRow, View
 from damsonstream.incident.words import plain
 
 S = 10_000
 GATEWAYS = ("gateway", "boot", "state", "GET/s", "in time", "shed/s", "err/s", "open", "CPU", "MB", "gaps")
 NODES = ("node", "role", "listed", "breaker", "GET/s", "bad", "at")
+PEERS = ("peers of", "believes", "near", "all", "lent", "borrowed", "told", "heard", "silent")
 SERVICES = ("delivery service", "GET/s", "in time", "late/s", "shed/s", "err/s")
 
 
@@ -68,6 +69,13 @@
     )
 
 
+def peers(row: PeersRow) -> tuple[str, ...]:
+    """Parts in hundredths; places of the silent ones as they stand in the list of peers."""
+    parts = (f"{100 * part:.1f}%" for part in (row.near, row.far, row.lent, row.borrowed))
+    silent = ",".join(map(str, row.silent[:6])) + ("..." if len(row.silent) > 6 else "")
+    return (plain(row.name, 14), row.standing, *parts, str(row.sent), str(row.heard), silent)
+
+
 def event(at: int, one: Event) -> str:
     return f"{clock(at)} {plain(one.gateway, 10)} {plain(one.text, 200)}"
 
@@ -86,8 +94,14 @@
     return made
 
 
+NUMBERS = (
+    "in time", "open", "CPU", "MB", "gaps", "boot", "bad", "late", "near", "all", "lent",
+    "borrowed", "told", "heard",
+)  # fmt: skip
+
+
 def numeric(name: str) -> bool:
-    return name.endswith("/s") or name in ("in time", "open", "CPU", "MB", "gaps", "boot", "bad", "late")
+    return name.endswith("/s") or name in NUMBERS
 
 
 def title(view: View, start: int, mode: str) -> str:
@@ -106,5 +120,7 @@
     made += [*table(NODES, [node(row) for row in nodes], columns), ""]
     if view.services:
         made += [*table(SERVICES, [service(row) for row in view.services], columns), ""]
+    if view.peers:
+        made += [*table(PEERS, [peers(row) for row in view.peers], columns), ""]
     made += [event(at, one)[:columns] for at, one in view.events[-events:]] or ["no events"]
     return made
--- a/damsonstream/incident/words.py
+++ b/damsonstream/incident/words.py
@@ -78,5 +78,13 @@
             return plain(f"configuration read again, {record.outcome}: {record.what}", 240)
         case model.Pulse():
             return f"{record.open} GETs open, {record.cpu / 1000:.1f} s of CPU, {record.rss // 1024} MB"
+        case model.Peers():
+            silent = f", silent: {', '.join(map(str, record.silent[:12]))}" if record.silent else ""
+            parts = f"{record.near / 1e6:.3f} of its location's caps, {record.far / 1e6:.3f} of all"
+            return plain(f"peers: {record.standing}{silent}; holds {parts}", 240)
+        case model.Told():
+            return plain(f"told by peers: {record.node} {record.what}", 240)
+        case model.Turn():
+            return plain(f"trial of {record.node} for all: {record.state}", 240)
         case model.Dropped():
             return plain(f"gap: {record.count} records dropped, {record.reason}", 240)
--- a/damsonstream/peers/council.py
+++ b/damsonstream/peers/council.py
@@ -13,6 +13,7 @@
 
 import random
 from collections import Counter
+from collections.abc import Callable
 from heapq import heappop, heappush
 
 from damsonstream.peers import order, wire
@@ -76,7 +77,8 @@
         self.watch: dict[bool, tuple[tuple[int, ...], dict[int, list[int]]]] = {}
         self.number, self.begun, self.ticked, self.beat_at, self.woken = 0, now, now, now, -S
         self.counted: Counter[str] = Counter()
-        self.gets = 0
+        # told of each trial that this gateway makes: when, the source, and begun, good or bad
+        self.on_turn: Callable[[int, int, str], None] = lambda now, source, state: None
 
     # what the router asks and tells
 
@@ -100,6 +102,7 @@
         return self.turns.mine(now, source, since, self.candidates(now, source, home))
 
     def trying(self, now: int, source: int, home: bool) -> None:
+        self.on_turn(now, source, "begun")
         if "turns" in self.pieces:
             location = self.here if home else wire.EVERYWHERE
             word = self.turns.began(now, source, location, self.members.boot)
@@ -107,6 +110,7 @@
                 self.spread.tell(now, word)
 
     def tried(self, now: int, source: int, home: bool, good: bool) -> None:
+        self.on_turn(now, source, "good" if good else "bad")
         if good:
             self.evidence.clear(source)
             self.opened.pop(source, None)
--- a/damsonstream/peers/turns.py
+++ b/damsonstream/peers/turns.py
@@ -27,7 +27,9 @@
 STEP = S // 4  # for a word to reach the next ones in order: two turns of passing on
 PLACES = 8  # of the order that have a step of their own; the rest share the last
 AFTER = 2 * S  # over which those that don't look after it come behind: a claim is heard in a sixth of it
-HELD = 2 * S  # a trial's word holds others back so long: an answer's usual time, and a stalled holder's end
+# A trial's word holds others back so long: a fill's usual time. Most trials turn out to be hits and prove
+# nothing; with 2 s a hub that was well again stayed Half-Open for 7 s and more (together, turns).
+HELD = S // 2
 RETURN = (
     S  # over which gateways come back one after the other: a load that the source had half a second before
 )
--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -88,7 +88,7 @@
     def join(self, pieces: frozenset[str], clock: Clock) -> Gathering | None:
         from damsonstream.program import gathering
 
-        return gathering.begin(self.config, pieces, clock, self.peers_told)
+        return gathering.begin(self.config, pieces, clock, self.peers_told, self.recorder)
 
     def peers_told(self, told: Told) -> None:
         self.gateway.tell(PeersTold(told.source, told.what))
@@ -96,6 +96,8 @@
     def told(self, event: bulletin.Event, number: int) -> None:
         if isinstance(event, bulletin.ListChanged):
             self.caches.listed(event)
+            if self.gathering is not None:
+                self.gathering.listed(event)
         if self.recorder is not None:
             self.recorder.news(self.gateway.clock.now(), number, event)
         self.gateway.told(event)
--- a/damsonstream/records/model.py
+++ b/damsonstream/records/model.py
@@ -170,9 +170,36 @@
     reason: str
 
 
+class Peers(Record, frozen=True, tag=15):
+    """What a gateway believes of its peers and holds of common caps: as it changes, and each few seconds."""
+
+    standing: str  # well, split, cut off or unheard
+    silent: list[int]  # places in the list of peers
+    near: int  # its part of caps of its location, millionths
+    far: int  # of the fleet's
+    lent: int  # millionths of both that others have
+    borrowed: int
+    sent: int  # datagrams since its start
+    heard: int
+
+
+class Told(Record, frozen=True, tag=16):
+    """What others' words did here."""
+
+    node: str
+    what: str  # dead, bad, good or well
+
+
+class Turn(Record, frozen=True, tag=17):
+    """A trial that this gateway made for all."""
+
+    node: str
+    state: str  # begun, good or bad
+
+
 AnyRecord = (
     Began | Stopped | Taken | Sent | Came | Answered | Turned | Left | Breaker | Listed | Purge | Reloaded
-    | Pulse | Dropped
+    | Pulse | Dropped | Peers | Told | Turn
 )  # fmt: skip
 KINDS = {kind.__name__.lower(): kind for kind in AnyRecord.__args__}
 encode = msgspec.msgpack.Encoder().encode
--- a/damsonstream/records/recorder.py
+++ b/damsonstream/records/recorder.py
@@ -116,6 +116,18 @@
         unix = self.at(time.time_ns() // NS)
         self.write(model.Pulse(self.at(now), unix, open_gets, cpu, used.ru_maxrss))
 
+    def peers(
+        self, now: int, standing: str, silent: list[int], near: int, far: int, lent: int, borrowed: int,
+        sent: int, heard: int,
+    ) -> None:  # fmt: skip
+        self.write(model.Peers(self.at(now), standing, silent, near, far, lent, borrowed, sent, heard))
+
+    def told(self, now: int, node: str, what: str) -> None:
+        self.write(model.Told(self.at(now), node, what))
+
+    def turn(self, now: int, node: str, state: str) -> None:
+        self.write(model.Turn(self.at(now), node, state))
+
     def counts(self) -> dict[str, Any]:
         return {"records.written": self.writer.written, "records.dropped": self.writer.lost}
 
