Evidence: only answers since the first bad end object, and what was opened on words alone is tried by oneself

Cause: answers from just before a source's death kept it for 1.5 s and more: 200 gateways took 6.4 s until 90% held it Open, and of a source that is dead to half of the gateways four tenths of the others stayed Open, since their trials waited for turns. Change: ages are compared; 0.6 s to object; a gateway that saw no bad end itself tries for itself after its cool-down.

--- a/damsonstream/peers/council.py
+++ b/damsonstream/peers/council.py
@@ -71,6 +71,8 @@
         self.names: dict[str, int] = {name: me}  # places by name; each name has one
         self.later: list[tuple[int, int]] = []  # when, source: returns that are due; emptied by time
         self.opened: dict[int, int] = {}  # sources told dead: when; emptied as they are no longer
+        # sources opened here on others' words alone: own sight outweighs them, each is tried by oneself once
+        self.on_words: set[int] = set()  # emptied by own ends there, and as the list drops them
         self.private: list[tuple[int, wire.Ask | wire.Grant]] = []  # to whom; emptied each turn
         # who looks after a source, of this location and of all; made anew as the lists change
         self.sources: dict[bool, tuple[int, ...]] = {True: (), False: ()}
@@ -92,12 +94,13 @@
 
     def anew(self, source: int) -> None:
         """It is a new process: what was seen of the old one says nothing."""
+        self.on_words.discard(source)
         self.evidence.clear(source)
         self.opened.pop(source, None)
 
     def turn(self, now: int, source: int, home: bool, since: int) -> bool:
         """Whether this gateway is the one to try it now; `since`: when its own cool-down was over."""
-        if "turns" not in self.pieces:
+        if "turns" not in self.pieces or source in self.on_words:
             return True
         return self.turns.mine(now, source, since, self.candidates(now, source, home))
 
@@ -111,6 +114,7 @@
 
     def tried(self, now: int, source: int, home: bool, good: bool) -> None:
         self.on_turn(now, source, "good" if good else "bad")
+        self.on_words.discard(source)
         if good:
             self.evidence.clear(source)
             self.opened.pop(source, None)
@@ -159,6 +163,7 @@
         for at_home, sources in ((True, home), (False, far)):
             if self.sources[at_home] != sources:
                 self.sources[at_home] = sources
+                self.on_words.intersection_update((*home, *far))
                 self.watch.pop(at_home, None)
 
     def resize(self, now: int, told: int, at_home: int) -> None:
@@ -238,9 +243,10 @@
             self.evidence.clear(source)
             self.opened.pop(source, None)
         if shows == "well":
+            self.on_words.discard(source)
             heappush(self.later, (now + self.turns.back(source), source))
             return []
-        return [Told(source, shows)] if shows else []
+        return [Told(source, shows)] if shows and source not in self.on_words else []
 
     def own_beat(self, now: int, echo: int = 0) -> wire.Beat:
         members = self.members
@@ -361,6 +367,8 @@
         for source in list(self.evidence.bad_since):
             if self.evidence.verdict(now, source) == "dead" and source not in self.opened:
                 self.opened[source] = now
+                if not self.evidence.bad_here(now, source):
+                    self.on_words.add(source)
                 told.append(Told(source, "dead"))
         for source in [s for s in self.opened if s not in self.evidence.bad_since]:
             del self.opened[source]
--- a/damsonstream/peers/evidence.py
+++ b/damsonstream/peers/evidence.py
@@ -4,14 +4,14 @@
 seen)` for what another tells; `news(now)` gives what is worth telling; `verdict(now, source)` is `dead` or
 nothing.
 
-What a gateway saw last of a source is one entry, (gateway, boot, number, good, bad): the bad ends in a row,
-or the good ones. A later number takes the place of an earlier one, so that entries may come in any order,
-twice or never. An entry fades with the window, a good one sooner: as a source dies, all have just seen it
-well. Each counts once, whatever numbers it tells, and three gateways must agree: one with a broken link, or
-one that lies, opens no source for all; one that gets answers keeps it. Who has an answer of a source that
-others call dead says so, and what one has seen oneself outweighs all that is told: what is well for most
-and dead for me is my path's trouble, and stays with my own breaker. Once enough agree, nobody adds to it or
-passes more on.
+What a gateway saw last of a source is one entry, (gateway, boot, number, good, bad): the bad ends in a
+row, or the good ones. A later number takes the place of an earlier one, so that entries may come in any
+order, twice or never. An entry fades with the window, a good one sooner; answers count only since the
+first bad end, since all have just seen it well as a source dies. Each counts once, whatever numbers it
+tells, and three gateways must agree: one with a broken link, or one that lies, opens no source for all;
+one that gets answers keeps it. Who has an answer of a source that others call dead says so, and what one
+has seen oneself outweighs all that is told: what is well for most and dead for me is my path's trouble,
+and stays with my own breaker. Once enough agree, nobody adds to it or passes more on.
 """
 
 from __future__ import annotations
@@ -25,10 +25,11 @@
 S = 10_000
 WINDOW = 3 * S  # as long as the breaker's own
 FRESH = S + S // 2  # for which an answer keeps a source for others: two fills of a gateway at full size
+MASK = (1 << 62) - 1  # later than any time
 AGES = S // 10  # what an age is counted in
 AGREE = 3  # gateways that saw nothing but bad ends
 KEEP = 1  # gateways that get answers: a source that fails in part is each breaker's own matter
-OBJECT = S // 2  # for others to say that they saw good ends, before it counts: three ways through the fleet
+OBJECT = 6 * S // 10  # for others to object, before it counts: three ways through the fleet, and a fill
 SOURCES, REPORTERS = 512, 32  # kept; of a source the entries heard last, of sources those heard of last
 QUIET = S // 2  # between two words of one gateway on one source
 
@@ -54,9 +55,8 @@
             run += 1
         return (0, run) if self.ends and self.ends[-1][1] else (run, 0)
 
-    def well(self, now: int) -> bool:
-        """Whether it ended well just now, for others to be told so."""
-        return bool(self.ends) and not self.ends[-1][1] and now - self.ends[-1][0] < FRESH
+    def well_since(self, when: int) -> bool:
+        return bool(self.ends) and not self.ends[-1][1] and self.ends[-1][0] > when
 
 
 @dataclass(slots=True, frozen=True)
@@ -133,18 +133,29 @@
             bad += entry.bad > 0
         return good, bad
 
+    def first_bad(self, source: int) -> int:
+        """When the first of the bad ends that are told was, as far as ages tell."""
+        return min((e.at for e in self.told.get(source, {}).values() if e.bad), default=MASK)
+
     def weigh(self, now: int, source: int) -> None:
-        good, bad = self.tally(now, source)
+        _, bad = self.tally(now, source)
+        first = self.first_bad(source)
+        # only answers since then say that it lives: as a source dies, all have just seen it well
+        good = sum(not e.bad and e.at > first for e in self.told.get(source, {}).values())
         own = self.own.get(source)
         if own is not None:
-            own_good, own_bad = own.roll(now)
-            good += KEEP if own_good else 0
-            bad += own_bad > 0
+            good += KEEP if own.well_since(first) else 0
+            bad += self.bad_here(now, source)
         if bad >= AGREE and good < KEEP:
             self.bad_since.setdefault(source, now)
         else:
             self.bad_since.pop(source, None)
 
+    def bad_here(self, now: int, source: int) -> bool:
+        """Whether this gateway has seen a bad end itself."""
+        own = self.own.get(source)
+        return own is not None and own.roll(now)[1] > 0
+
     def settled(self, now: int, seen: wire.Seen) -> bool:
         """Whether enough say the same already."""
         good, bad = self.tally(now, seen.source)
@@ -182,7 +193,7 @@
             age = min(255, (now - own.ends[-1][0]) // AGES)
             seen = wire.Seen(self.me, boot, own.number + 1, source, own.location,
                              min(255, good), min(255, bad), age)  # fmt: skip
-            answers = own.well(now) and (self.tally(now, source)[1] or own.said[1] > 0)
+            answers = own.well_since(self.first_bad(source)) or own.said[1] > 0
             if (bad or answers) and not self.settled(now, seen):
                 own.said, own.said_at, own.number = (good, bad), now, own.number + 1
                 found.append(seen)
