--- a/damsonstream/incident/phases.py
+++ b/damsonstream/incident/phases.py
@@ -4,7 +4,8 @@
 of gateways; `phases(boots)` then gives the phases by their start, in fleet time, each with its evidence and
 with what it cost. Times are tenths of a millisecond.
 
-A phase is one of: purge, drain, slow-source, failing, open, half-open, overload, restart, gap, recovery.
+A phase is one of: purge, drain, slow-source, failing, open, half-open, overload, restart, gap, peers (what
+gateways believed of one another), recovery.
 """
 
 from __future__ import annotations
@@ -174,6 +175,8 @@
         self.paces_kb: dict[tuple[str, int], float] = {}
         self.models: dict[tuple[str, int], tuple[str, str]] = {}
         self.origin = ""
+        self.beliefs: list[tuple[int, str, int, model.Peers]] = []  # as they changed: when, gateway, boot
+        self.words: list[tuple[int, str, model.Told | model.Turn]] = []  # of peers: when, gateway
 
     def at(self, gateway: str, boot: int, at: int) -> int:
         return self.clocks.fleet((gateway, boot), at)
@@ -187,6 +190,10 @@
         at = self.at(gateway, boot, record.at)
         if isinstance(record, model.Breaker):
             self.turns.append(Turn(at, gateway, boot, record))
+        elif isinstance(record, model.Peers):
+            self.beliefs.append((at, gateway, boot, record))
+        elif isinstance(record, model.Told | model.Turn):
+            self.words.append((at, gateway, record))
         elif isinstance(record, model.Purge) and record.number:  # 0: told again after a start
             self.purges.append((at, gateway, record))
         elif isinstance(record, model.Began):
@@ -297,6 +304,7 @@
             *self.overloaded(),
             *self.restarts(boots),
             *self.gaps(boots),
+            *self.believed(boots),
         ]
         found += self.recoveries(found)
         for phase in found:
@@ -442,10 +450,50 @@
                 evidence = [f"{len(group)} times"]
                 if state == "Open":
                     evidence += judged["Open", node][:6]
+                evidence += self.said(node, group)
                 kind = "open" if state == "Open" else "half-open"
                 phases.append(self.of(group, kind, node, evidence))
         return phases
 
+    def said(self, node: str, group: list[tuple[str, Span]]) -> list[str]:
+        """What peers told of a node meanwhile, and who tried it for all."""
+        start, end = min(span.start for _, span in group), max(span.end for _, span in group)
+        counted: dict[str, Counter[str]] = {}
+        for at, gateway, word in self.words:
+            if word.node == node and start <= at <= end:
+                what = f"told {word.what}" if isinstance(word, model.Told) else f"trials {word.state}"
+                counted.setdefault(what, Counter())[gateway] += 1
+        return [
+            f"by peers, {what}: " + ", ".join(f"{name} {count}" for name, count in sorted(by.items()))
+            for what, by in sorted(counted.items())
+        ]
+
+    def believed(self, boots: list[Boot]) -> list[Phase]:
+        """Spans in which gateways believed the fleet split, or themselves cut off or unheard."""
+        ends = {boot.gateway_boot: self.at(boot.gateway, boot.number, boot.last) for boot in boots}
+        spans: dict[tuple[str, str], list[Span]] = defaultdict(list)
+        silent: dict[str, dict[str, list[int]]] = defaultdict(dict)
+        latest: dict[tuple[str, int], tuple[str, Span]] = {}
+        for at, gateway, boot, record in sorted(self.beliefs, key=lambda one: one[:3]):
+            before, span = latest.get((gateway, boot), ("well", None))
+            if record.standing != before:
+                if span is not None:
+                    span.last = span.after = at
+                fresh = Span(at, ends.get((gateway, boot), at), 0, 1)
+                latest[gateway, boot] = (record.standing, fresh)
+                if record.standing != "well":
+                    spans[gateway, record.standing].append(fresh)
+            if record.standing != "well":
+                silent[record.standing][gateway] = record.silent
+        phases = []
+        for standing, group in self.spans(spans):
+            told = [f"{name} hears nothing of {', '.join(map(str, places)) or 'nobody in particular'}"
+                    for name, places in sorted(silent[standing].items())]  # fmt: skip
+            phase = self.of(group, "peers", standing, told[:8])
+            phase.subject = standing
+            phases.append(phase)
+        return phases
+
     def overloaded(self) -> list[Phase]:
         names = ("", *self.services)
         width, phases = self.rates.width, list[Phase]()
--- a/damsonstream/report/charts.py
+++ b/damsonstream/report/charts.py
@@ -51,6 +51,7 @@
     "overload": "#f2843c",
     "restart": "#3d4752",
     "gap": "#8d99ae",
+    "peers": "#2a6f97",
     "recovery": "#4f9d69",
 }
 OUTCOMES = (
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,12 +9,18 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from damsonstream.console import text
+from damsonstream.console.history import History
+from damsonstream.incident.clocks import Clocks
+from damsonstream.incident.phases import Watch
 from damsonstream.peers import shares, subsets, turns, wire
 from damsonstream.peers.council import Council
 from damsonstream.peers.evidence import Entry, Evidence, merged
 from damsonstream.peers.members import Members
 from damsonstream.peers.pieces import PIECES
 from damsonstream.peers.turns import Turns
+from damsonstream.records import model
+from damsonstream.records.store import Item
 from damsonstream.routing import interface as i
 from damsonstream.virtual.fleet import Fleet
 from damsonstream.virtual.links import Links, S, apart, one_way
@@ -341,6 +347,46 @@
             self.assertLessEqual(worst, 1 + shares.FLOOR + 1e-6)
 
 
+class ToldAfterwards(unittest.TestCase):
+    """What records of peers become: phases of the report, rows of the console."""
+
+    def records(self) -> list[model.AnyRecord]:
+        def believes(at: int, standing: str, silent: list[int]) -> model.Peers:
+            return model.Peers(at, standing, silent, 125_000, 100_000, 0, 30_000, 7, 9)
+
+        return [
+            model.Began(0, 1, "n1", "0", 0, "shop", [], "hub", "vault"),
+            believes(S, "well", []),
+            believes(9 * S, "split", [4, 6]),
+            model.Breaker(10 * S, "parent", "hub-1", "Open", 1, 1.0, 1.0),
+            model.Told(11 * S, "hub-1", "bad"),
+            model.Turn(12 * S, "hub-1", "begun"),
+            model.Breaker(14 * S, "parent", "hub-1", "Closed", 0, 0.0, 0.0),
+            believes(20 * S, "well", []),
+        ]
+
+    def test_phases_tell_who_heard_whom_and_who_tried(self) -> None:
+        watch = Watch(Clocks())
+        for record in self.records():
+            watch.record("n1", 1, record)
+        told = [(p.kind, p.subject, p.start // S, p.end // S, p.evidence[:-1]) for p in watch.phases([])]
+        self.assertEqual(told, [
+            ("peers", "split", 9, 20, ["n1 hears nothing of 4, 6"]),
+            ("open", "node hub-1", 10, 14, ["1 times", "n1: 1 bad in a row, 1 of 1 in the window",
+             "by peers, told bad: n1 1", "by peers, trials begun: n1 1"]),
+        ])  # fmt: skip
+
+    def test_console_shows_beliefs_as_they_were(self) -> None:
+        history = History()
+        for record in self.records():
+            history.feed("n1", Item(1, 0, record))
+        for at, standing in ((5 * S, "well"), (15 * S, "split")):
+            row = history.view(at).peers[0]
+            self.assertEqual(text.peers(row)[:6], ("n1", standing, "12.5%", "10.0%", "0.0%", "3.0%"))
+        shown = " ".join(one.text for _, one in history.view(15 * S).events)
+        self.assertIn("peers: split, silent: 4, 6", shown)
+
+
 class RouterAsks(unittest.TestCase):
     """With a fleet the router asks it; without, all is as before (the kept traces of test_router)."""
 
