Mass kill, ten times the traffic at one, a list of peers that changes; one way to play viewers out

Change: two tests in virtual time; Front.play_out serves demo and together. Result: sums under the cap while 14 of 20 die and return; the busy one borrows again within 16 s.

--- a/damsonstream/demo/play.py
+++ b/damsonstream/demo/play.py
@@ -30,8 +30,6 @@
 )
 VIEWERS = 500
 REMEMBERED = 3.0  # seconds for which the vault knows a token
-TAIL = 1.0  # seconds after the last arrival, for what is still open
-CLOSE = 4.0  # seconds that viewers' last GETs may take: the longest patience and a little
 
 
 @dataclass(slots=True)
@@ -177,14 +175,8 @@
     async def viewers(self) -> None:
         most = max([self.rate(0.0), *(self.rate(step.at) for step in self.scenario.steps)])
         seconds = self.scenario.lasts
-        async with anyio.create_task_group() as group:
-            wishes = arrivals(self.catalogue, self.rate, most, seconds, VIEWERS, self.seed + 2)
-            await self.front.play(wishes, group)
-            await anyio.sleep(TAIL)
-            with anyio.move_on_after(CLOSE):
-                while self.front.open:
-                    await anyio.sleep(0.02)
-            group.cancel_scope.cancel()
+        wishes = arrivals(self.catalogue, self.rate, most, seconds, VIEWERS, self.seed + 2)
+        await self.front.play_out(wishes)
 
     async def run(self, progress: Callable[[Play], None]) -> Truth:
         world, fleet, front = self.world, self.fleet, self.front
--- a/damsonstream/standins/clients.py
+++ b/damsonstream/standins/clients.py
@@ -24,6 +24,8 @@
 FURTHER = 2  # tries after the first
 AGAIN_MS = 200  # before a further try, where nothing is told
 RETRY = 0.25  # seconds between tries to reach a gateway
+TAIL = 1.0  # seconds after the last arrival, for what is still open
+CLOSE = 4.0  # seconds that viewers' last GETs may take: the longest patience and a little
 MOST_OPEN = 4096  # GETs open in all: beyond it a play counts as overrun, and says so
 
 
@@ -165,6 +167,16 @@
             else:
                 self.unsent += 1
 
+    async def play_out(self, arrivals: Iterable[Arrival]) -> None:
+        """Sends all, and waits until the last are over."""
+        async with anyio.create_task_group() as group:
+            await self.play(arrivals, group)
+            await anyio.sleep(TAIL)
+            with anyio.move_on_after(CLOSE):
+                while self.open:
+                    await anyio.sleep(0.02)
+            group.cancel_scope.cancel()
+
     async def wish(self, arrival: Arrival) -> None:
         """One viewer's wish: a GET, and further ones where it is shed or lost."""
         self.open += 1
--- a/damsonstream/together/rig.py
+++ b/damsonstream/together/rig.py
@@ -34,8 +34,6 @@
 from damsonstream.together.script import Script, Step
 
 VIEWERS = 500
-TAIL = 0.5  # seconds after the last arrival
-CLOSE = 4.0  # seconds that viewers' last GETs may take
 PRICE = 0.01  # as the settings tell it: part of all revenue for one full message a GET
 
 
@@ -148,14 +146,8 @@
 
     async def viewers(self) -> None:
         most = max([self.rate(0.0), *(self.rate(step.at) for step in self.script.steps)])
-        async with anyio.create_task_group() as group:
-            wishes = arrivals(self.catalogue, self.rate, most, self.script.lasts, VIEWERS, self.seed + 2)
-            await self.front.play(wishes, group)
-            await anyio.sleep(TAIL)
-            with anyio.move_on_after(CLOSE):
-                while self.front.open:
-                    await anyio.sleep(0.02)
-            group.cancel_scope.cancel()
+        wishes = arrivals(self.catalogue, self.rate, most, self.script.lasts, VIEWERS, self.seed + 2)
+        await self.front.play_out(wishes)
 
     async def run(self) -> Seen:
         world, fleet, front = self.world, self.fleet, self.front
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -305,6 +305,34 @@
         self.assertLessEqual(fleet.worst["far"], 1.000001)
         self.assertLessEqual(fleet.worst["near"], 1.000001)
 
+    def test_seven_in_ten_killed_at_once_come_back_with_nothing(self) -> None:
+        """And one of the rest is asked for ten times as much from then on."""
+        fleet = self.fleet(20)
+        fleet.watch_sums(S // 20)
+        for place in range(14):
+            fleet.at(8 * S, lambda place=place: fleet.kill(place))  # type: ignore[misc]
+            fleet.at(11 * S + place * 1000, lambda place=place: fleet.restart(place))  # type: ignore[misc]
+        busy = fleet.gateways[17]
+        fleet.at(8 * S, lambda: setattr(busy, "demand", 10 * busy.demand))
+        fleet.until(24 * S)
+        self.assertLessEqual(max(fleet.worst.values()), 1.000001)
+        local = fleet.now + busy.offset
+        self.assertGreater(busy.council.part(local, False), 2 / 20)  # it borrows more than its own again
+        standing = [g.council.members.standing(fleet.now + g.offset) for g in fleet.gateways]
+        self.assertGreaterEqual(standing.count("well"), 18)
+
+    def test_a_list_of_peers_that_changes(self) -> None:
+        one = council(0, told=8)
+        one.heard(0, 7, datagram(7, 1, wire.Beat(7, 1000, 1, 0, 300)))
+        one.resize(1000, 4, 4)
+        one.heard(1000, 7, datagram(7, 2, wire.Beat(7, 1000, 2, 0, 300)))
+        one.heard(1000, 3, datagram(3, 1, wire.Seen(6, 1000, 1, 77, wire.EVERYWHERE, 0, 1)))
+        self.assertEqual((one.counted["foreign"], sorted(one.members.others)), (1, []))
+        one.resize(2000, 8, 8)
+        one.heard(2000, 7, datagram(7, 3, wire.Beat(7, 1000, 3, 0, 300)))
+        self.assertEqual(sorted(one.members.others), [7])
+        self.assertLessEqual(one.part(2000, False), 1 / 8)
+
     def test_one_reporter_opens_nothing(self) -> None:
         """A cache that is dead for one gateway only, and one that is slow to half of them."""
         fleet = self.fleet(30)
