Zones: one's own sight outweighs a told loss, nonsense epochs win nothing

Change: a loss is not believed while the zone's hubs answer here, nor the return from it; epochs far ahead are dropped.

--- a/damsonstream/tiers/verdicts.py
+++ b/damsonstream/tiers/verdicts.py
@@ -52,6 +52,8 @@
 STEPS = 20  # of a return: a twentieth of the objects more each time
 CARE = {LOST: 2, RETURNING: 1, WELL: 0}  # which wins where epoch and step are the same
 AGAIN = 5.0  # seconds after which what still matters is told again: to those that were cut off, or start
+ANSWERS = 2.0  # seconds for which an answer outweighs others' words: two of a gateway at full size
+AHEAD = 16  # epochs that a word may be ahead: more is nonsense, and would win for ever
 FLAPS = 32  # counted at most: the hold has long reached its bound
 
 
@@ -94,6 +96,8 @@
     agree: int = 0  # other gateways that see it fail
     well: int = 0  # others that are answered
     good: int = 0  # trials in a row, anyone's
+    answered_at: float = -1e9  # when its hubs last answered this gateway
+    refused: int = 0  # the latest epoch that this gateway does not believe
     told: Verdict | None = None
     told_at: float = 0.0
 
@@ -120,14 +124,25 @@
         belief = self.beliefs.get(verdict.zone)
         if belief is None or not 0 <= verdict.progress <= STEPS or verdict.state not in CARE:
             return False
-        if verdict.key <= belief.verdict.key:
+        if verdict.key <= belief.verdict.key or verdict.epoch > belief.verdict.epoch + AHEAD:
             return False
+        # own sight outweighs what is told: a zone that answers here is not lost for all
+        if verdict.epoch > belief.verdict.epoch and verdict.state != WELL:
+            if now - belief.answered_at < ANSWERS and belief.failing_since < 0:
+                belief.refused = verdict.epoch
+            if verdict.epoch <= belief.refused:
+                return False
         self.hold(belief, verdict, now)
         return True
 
-    def sees(self, zone: str, failing: bool, agree: int, well: int, now: float) -> None:
+    def sees(
+        self, zone: str, failing: bool, agree: int, well: int, now: float, answered: bool = False
+    ) -> None:
+        """`answered`: its hubs gave this gateway something just now."""
         belief = self.beliefs[zone]
         belief.agree, belief.well = agree, well
+        if answered:
+            belief.answered_at = now
         if not failing:
             belief.failing_since = -1.0
         elif belief.failing_since < 0:
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -110,6 +110,18 @@
         self.assertEqual(fleet.ones[0].state("north", fleet.now, True), "Cut off")
         self.assertEqual({one.beliefs["north"].verdict for one in fleet.ones}, {Verdict("north")})
 
+    def test_a_lie_moves_only_those_that_see_nothing_of_the_zone(self) -> None:
+        """One gateway tells that a zone is lost, and another nonsense; those that are answered go on."""
+        lost, nonsense = Verdict("north", 1, 0, LOST, 0), Verdict("north", 99, 0, LOST, 0)
+        for lie, moved in ((nonsense, False), (lost, True)):
+            answered, blind = Verdicts.of(["north"], 0.0), Verdicts.of(["north"], 0.0)
+            answered.sees("north", False, 0, 0, 1.0, answered=True)
+            self.assertFalse(answered.heard(lie, 1.5))
+            self.assertEqual(blind.heard(lie, 1.5), moved)
+        back = Verdict("north", 1, 3, RETURNING, 4)
+        self.assertFalse(answered.heard(back, 9.0))  # nor is the return from a loss that was none
+        self.assertEqual(answered.carries("north", 9.0), 1.0)
+
     def test_cut_off_in_the_middle_of_a_return_waits(self) -> None:
         fleet = Fleet(5, 9)
         fleet.sees = lambda place: False
