--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -104,17 +104,17 @@
 def chart(rows: list[tuple[int, str, str, dict[str, float]]], path: Path) -> None:
     from matplotlib.figure import Figure
 
-    figure = Figure(figsize=(9, 3.2), layout="constrained")
+    figure = Figure(figsize=(9, 3.6), layout="constrained")
     for axes, name, title in zip(figure.subplots(1, 3), ("at 10 s", "wasted", "bytes"),
                                  ("hold a dead source Open after 10 s", "fills lost, a gateway",
                                   "bytes a second, a gateway"), strict=True):  # fmt: skip
-        labels = list(dict.fromkeys(f"{count}\n{fault}" for count, fault, _, _ in rows))
+        labels = list(dict.fromkeys(f"{count} {fault}" for count, fault, _, _ in rows))
         for shift, how in ((-0.2, "peers"), (0.2, "alone")):
             heights = [row[3][name] for row in rows if row[2] == how]
             axes.bar([n + shift for n in range(len(labels))], heights, 0.4, label=how)
-        axes.set_xticks(range(len(labels)), labels, fontsize=5)
+        axes.set_xticks(range(len(labels)), labels, fontsize=7, rotation=60, ha="right")
         axes.set_title(title, fontsize=8)
-    figure.axes[0].legend(fontsize=7)
+    figure.axes[0].legend(fontsize=7, loc="center right")
     path.parent.mkdir(parents=True, exist_ok=True)
     figure.savefig(path, dpi=130)
 
