Zone verdicts ride on the wire of peers; councils weigh zones by evidence, a restarted one takes up the ramp

Cause found on the way: with own sight outweighing every word, a restarted gateway whose hubs answered refused the return and carried all at once; only one that has seen no failure for as long as a return may take refuses it. Result: forty councils, a fifth of words lost, four restarted: shares within 0.16 of each other, whole at the end.

--- a/damsonstream/peers/council.py
+++ b/damsonstream/peers/council.py
@@ -13,8 +13,10 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from hashlib import blake2b
 from heapq import heappop, heappush
+from typing import TYPE_CHECKING
 
 from damsonstream.peers import order, wire
 from damsonstream.peers.evidence import Evidence
@@ -25,6 +27,9 @@
 from damsonstream.peers.subsets import assigned
 from damsonstream.peers.turns import Turns
 
+if TYPE_CHECKING:
+    from damsonstream.tiers.verdicts import Verdict, Verdicts
+
 MS, S = 10, 10_000
 TURN = S // 10  # between datagrams of news: a way through 200 gateways is some six of them
 FANOUT = 2  # others told in a turn: with the repeats of peers/spread.py all but one in a thousand hear of it
@@ -39,6 +44,11 @@
 AHEAD = 864_000  # of one's own boot, a day in tenths of a second: a later one is nonsense
 
 
+def digest(name: str) -> int:
+    """A zone's name in 32 bits, the same at every gateway."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=4).digest(), "big")
+
+
 class Told:
     """What the router is to hear: a source by the low half of its hash, and dead, bad, good or well."""
 
@@ -79,6 +89,8 @@
         self.watch: dict[bool, tuple[tuple[int, ...], dict[int, list[int]]]] = {}
         self.number, self.begun, self.ticked, self.beat_at, self.woken = 0, now, now, now, -S
         self.counted: Counter[str] = Counter()
+        self.zones: Verdicts | None = None  # None: none are followed
+        self.zone_names: dict[int, str] = {}  # by hash
         # told of each trial that this gateway makes: when, the source, and begun, good or bad
         self.on_turn: Callable[[int, int, str], None] = lambda now, source, state: None
 
@@ -201,7 +213,9 @@
         self.members.anyone(now)
         told: list[Told] = []
         for item in datagram.items:
-            if not isinstance(item, (wire.Ask, wire.Grant)) and item.boot > self.members.boot + AHEAD:
+            if isinstance(item, (wire.Beat, wire.Doubt, wire.Seen, wire.Trial)) and (
+                item.boot > self.members.boot + AHEAD
+            ):
                 self.counted["nonsense"] += 1
                 continue
             told += self.take(now, place, item)
@@ -229,6 +243,9 @@
                     news, shows = self.turns.heard(now, item)
                     self.spread.heard(now, item, news)
                     return self.shown(now, item.source, shows)
+            case wire.Zone():
+                if (verdict := self.verdict(item)) is not None and self.zones is not None:
+                    self.spread.heard(now, item, self.zones.heard(verdict, now / S))
             case wire.Ask():
                 lender = self.near if item.scope == self.here else self.far
                 if (grant := lender.grant(now, place, item)) is not None:
@@ -248,6 +265,48 @@
             return []
         return [Told(source, shows)] if shows and source not in self.on_words else []
 
+    # zones
+
+    def follow(self, now: int, zones: Iterable[str]) -> None:
+        """From now on what is believed of these zones is told and heard."""
+        from damsonstream.tiers.verdicts import Verdicts  # its libraries load only where zones are followed
+
+        self.zones = Verdicts.of(zones, now / S)
+        self.zone_names = {digest(name): name for name in self.zones.beliefs}
+
+    def zone_saw(self, now: int, zone: str, failing: bool) -> None:
+        """What this gateway's own hubs of a zone do: most of them fail, or they answer."""
+        if self.zones is None:
+            return
+        source = digest(zone)
+        self.evidence.saw(now, source, wire.EVERYWHERE, failing)
+        well, agree = self.evidence.tally(now, source)
+        self.zones.sees(zone, failing, agree, well, now / S, answered=not failing)
+        self.zones.tried(zone, not failing, now / S)
+
+    def zone_carries(self, now: int, zone: str) -> float:
+        """Share of its own objects that a zone's hubs are asked for."""
+        if self.zones is None:
+            return 1.0
+        return self.zones.carries(zone, now / S, self.members.hears_nobody(now))
+
+    def verdict(self, item: wire.Zone) -> Verdict | None:
+        from damsonstream.tiers.verdicts import BY_CARE, Verdict
+
+        name = self.zone_names.get(item.zone)
+        if name is None:
+            return None
+        return Verdict(name, item.epoch, item.step, BY_CARE[item.state], item.progress, item.flaps)
+
+    def tell_zones(self, now: int) -> None:
+        from damsonstream.tiers.verdicts import CARE
+
+        if self.zones is None:
+            return
+        for one in self.zones.look(now / S, self.members.hears_nobody(now)):
+            word = wire.Zone(digest(one.zone), one.epoch, one.step, CARE[one.state], one.progress, one.flaps)
+            self.spread.tell(now, word)
+
     def own_beat(self, now: int, echo: int = 0) -> wire.Beat:
         members = self.members
         known = now - self.begun > KNOWN
@@ -282,6 +341,7 @@
             for place in self.greeted(now):
                 known = self.members.others.get(place)
                 self.send(now, out, place, [self.own_beat(now, known.beat if known else 0)], -wire.MOST)
+        self.tell_zones(now)
         if "shares" in self.pieces:
             self.ask(now)
         for place, item in self.private:
@@ -364,7 +424,7 @@
             told.append(Told(heappop(self.later)[1], "well"))
         if "evidence" not in self.pieces:
             return told
-        for source in list(self.evidence.bad_since):
+        for source in [s for s in self.evidence.bad_since if s not in self.zone_names]:
             if self.evidence.verdict(now, source) == "dead" and source not in self.opened:
                 self.opened[source] = now
                 if not self.evidence.bad_here(now, source):
--- a/damsonstream/peers/spread.py
+++ b/damsonstream/peers/spread.py
@@ -47,6 +47,13 @@
             return 2, item.by, item.source
         case wire.Trial():
             return 3, item.by, item.source
+        case wire.Zone():
+            return 4, item.zone
+
+
+def stamp(item: wire.News) -> tuple[int, int]:
+    """Which of two words of the same is the later one."""
+    return (item.epoch, item.step) if isinstance(item, wire.Zone) else (item.boot, item.beat)
 
 
 def older(item: wire.News, held: int) -> wire.News:
@@ -74,7 +81,7 @@
             self.put(now, item, self.times() - 1)
             return
         known = self.waiting.get(key(item))
-        if known is not None and (known.item.boot, known.item.beat) == (item.boot, item.beat):
+        if known is not None and stamp(known.item) == stamp(item):
             known.left -= 1
             if known.left <= 0:
                 del self.waiting[key(item)]
--- a/damsonstream/peers/wire.py
+++ b/damsonstream/peers/wire.py
@@ -87,7 +87,18 @@
     lasts: Annotated[int, Meta(ge=1, le=600_000)]  # tenths of a millisecond
 
 
-News = Beat | Doubt | Seen | Trial  # passed on from one to the next
+class Zone(Struct, array_like=True, frozen=True, tag=6):
+    """What is believed of a zone (tiers/verdicts.py), whoever tells it."""
+
+    zone: Word32  # by its hash
+    epoch: Place
+    step: Place
+    state: Annotated[int, Meta(ge=0, le=2)]  # well, returning or lost
+    progress: Annotated[int, Meta(ge=0, le=100)]
+    flaps: Count
+
+
+News = Beat | Doubt | Seen | Trial | Zone  # passed on from one to the next
 Item = News | Ask | Grant  # the last two are between two gateways
 EVERYWHERE = 65_535
 
--- a/damsonstream/tiers/verdicts.py
+++ b/damsonstream/tiers/verdicts.py
@@ -53,7 +53,9 @@
 CARE = {LOST: 2, RETURNING: 1, WELL: 0}  # which wins where epoch and step are the same
 AGAIN = 5.0  # seconds after which what still matters is told again: to those that were cut off, or start
 ANSWERS = 2.0  # seconds for which an answer outweighs others' words: two of a gateway at full size
+SEEN = RAMP * SLOWEST + HOLD_LONGEST  # seconds without a failure: no return of it can be under way
 AHEAD = 16  # epochs that a word may be ahead: more is nonsense, and would win for ever
+BY_CARE = sorted(CARE, key=CARE.__getitem__)  # as the wire has them
 FLAPS = 32  # counted at most: the hold has long reached its bound
 
 
@@ -97,6 +99,7 @@
     well: int = 0  # others that are answered
     good: int = 0  # trials in a row, anyone's
     answered_at: float = -1e9  # when its hubs last answered this gateway
+    failed_at: float = 0.0  # when they failed last, or this gateway started
     refused: int = 0  # the latest epoch that this gateway does not believe
     told: Verdict | None = None
     told_at: float = 0.0
@@ -109,7 +112,7 @@
 
     @classmethod
     def of(cls, zones: Iterable[str], now: float) -> Verdicts:
-        return cls({zone: Belief(Verdict(zone), now, now) for zone in zones})
+        return cls({zone: Belief(Verdict(zone), now, now, failed_at=now) for zone in zones})
 
     def hold(self, belief: Belief, verdict: Verdict, now: float) -> None:
         if verdict.state == LOST and belief.verdict.state != LOST:
@@ -126,9 +129,11 @@
             return False
         if verdict.key <= belief.verdict.key or verdict.epoch > belief.verdict.epoch + AHEAD:
             return False
-        # own sight outweighs what is told: a zone that answers here is not lost for all
+        # own sight outweighs what is told: a zone that answers here is not lost for all, nor does it return
+        # where it was never seen to fail; but one that just started has not seen enough to say so
         if verdict.epoch > belief.verdict.epoch and verdict.state != WELL:
-            if now - belief.answered_at < ANSWERS and belief.failing_since < 0:
+            answers = now - belief.answered_at < ANSWERS and belief.failing_since < 0
+            if answers and (verdict.state == LOST or now - belief.failed_at > SEEN):
                 belief.refused = verdict.epoch
             if verdict.epoch <= belief.refused:
                 return False
@@ -147,6 +152,8 @@
             belief.failing_since = -1.0
         elif belief.failing_since < 0:
             belief.failing_since = now
+        if failing:
+            belief.failed_at = now
 
     def tried(self, zone: str, good: bool, now: float) -> None:
         belief = self.beliefs[zone]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -36,6 +36,7 @@
     st.builds(wire.Trial, places, words, st.integers(0, 1 << 40), words, places, st.integers(0, 2)),
     st.builds(wire.Doubt, places, places, words, st.integers(0, 1 << 40)),
     st.builds(wire.Ask, places, words, words, st.integers(1, 1_000_000)),
+    st.builds(wire.Zone, words, places, places, st.integers(0, 2), st.integers(0, 100), st.integers(0, 255)),
     st.builds(wire.Grant, places, words, words, st.integers(1, 1_000_000), st.integers(1, 600_000)),
 )  # fmt: skip
 entries = st.dictionaries(
@@ -333,6 +334,47 @@
         self.assertEqual(sorted(one.members.others), [7])
         self.assertLessEqual(one.part(2000, False), 1 / 8)
 
+    def test_a_zone_is_lost_and_comes_back_for_all_together(self) -> None:
+        """Forty councils, a fifth of all words lost; a tenth of them restarted in the middle of the ramp."""
+        links = Links(random.Random(5), lost=0.2)
+        fleet = self.fleet(40, links=links)
+        well = True
+
+        def follow(place: int) -> None:
+            gateway = fleet.gateways[place]
+            gateway.council.follow(fleet.now + gateway.offset, ["north", "south"])
+
+        def watch() -> None:
+            for gateway in fleet.gateways:
+                local = fleet.now + gateway.offset
+                gateway.council.zone_saw(local, "north", not well)
+                gateway.council.zone_saw(local, "south", False)
+            fleet.after(S // 4, watch)
+
+        def carried(zone: str) -> list[float]:
+            return [g.council.zone_carries(fleet.now + g.offset, zone) for g in fleet.gateways]
+
+        for place in range(40):
+            follow(place)
+        fleet.at(S, watch)
+        fleet.until(5 * S)
+        well = False
+        fleet.until(11 * S)
+        self.assertLess(max(carried("north")), 0.01)
+        well = True
+        fleet.until(24 * S)
+        ramp = carried("north")
+        self.assertLess(max(ramp) - min(ramp), 0.16)
+        self.assertLess(max(ramp), 0.9)
+        for place in range(4):
+            fleet.kill(place)
+            fleet.restart(place)
+            follow(place)
+        fleet.until(31 * S)
+        self.assertLess(max(carried("north")[:4]), 1.0)  # they took the ramp up where it was
+        fleet.until(55 * S)
+        self.assertEqual((set(carried("north")), set(carried("south"))), ({1.0}, {1.0}))
+
     def test_one_reporter_opens_nothing(self) -> None:
         """A cache that is dead for one gateway only, and one that is slow to half of them."""
         fleet = self.fleet(30)
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -121,6 +121,10 @@
         back = Verdict("north", 1, 3, RETURNING, 4)
         self.assertFalse(answered.heard(back, 9.0))  # nor is the return from a loss that was none
         self.assertEqual(answered.carries("north", 9.0), 1.0)
+        fresh, old = Verdicts.of(["north"], 8.0), Verdicts.of(["north"], -500.0)
+        for one in (fresh, old):
+            one.sees("north", False, 0, 0, 9.0, answered=True)
+        self.assertEqual((fresh.heard(back, 9.0), old.heard(back, 9.0)), (True, False))
 
     def test_cut_off_in_the_middle_of_a_return_waits(self) -> None:
         fleet = Fleet(5, 9)
