--- a/damsonstream/peers/evidence.py
+++ b/damsonstream/peers/evidence.py
@@ -1,7 +1,7 @@
 """What many gateways saw of a source or cache, merged without a coordinator. No I/O; time is handed in.
 
 How it is called: `saw(now, source, bad)` for each end of a forward that a breaker was told of; `heard(now,
-seen)` for what another tells; `news(now)` gives what is worth telling; `verdict(now, source)` is `dead` or
+seen)` for what another tells; `news(now)` gives what others should know; `verdict(now, source)` is `dead` or
 nothing.
 
 What a gateway saw last of a source is one entry, (gateway, boot, number, good, bad): the bad ends in a
@@ -31,7 +31,7 @@
 AGREE = 3  # gateways that saw nothing but bad ends
 KEEP = 1  # gateways that get answers: a source that fails in part is each breaker's own matter
 # For others to object, before it counts: a way round the fleet, and an answer at one that has heard of it.
-# With 0.6 s at 187 gateways parents that failed in half were opened by the hundreds (zone+mass).
+# With 0.6 s at 187 gateways parents that fail in half were opened by the hundreds (zone+mass).
 OBJECT, ROUND = 3 * S // 10, 3 * S // 20  # and so much more for each power of e of the fleet
 LATELY = S  # since a good end here, before bad ones are told: longer, and a busy gateway opens it alone first
 SOURCES, REPORTERS = 512, 32  # kept; of a source the entries heard last, of sources those heard of last
--- a/damsonstream/peers/shares.py
+++ b/damsonstream/peers/shares.py
@@ -37,7 +37,7 @@
 AGAIN = S  # between asks
 AT_ONCE = 8  # others that are asked at one time, each for half a gateway's own part or less
 KEEPS = 0.75  # of what it wants: with less left, one that lent does not lend again; demand is a coarse count
-LEAST = 0.05  # of its own part: less is not worth a message
+LEAST = 0.05  # of its own part: less does not pay a message
 LEASES = 32  # given, and as many taken: what a gateway with many times the usual traffic needs
 FAR = 8.0  # times the middle demand: beyond it what one tells counts no more, so that nonsense moves little
 SPAN, SOON = 8 * S, S  # over which a gateway's own demand is counted, and where it has doubled of a sudden
@@ -139,13 +139,13 @@
         self.sweep(now)
         found = []
         short = self.want(now) - self.millionths(now)
-        worth = max(1, int(LEAST * self.own))
+        least = max(1, int(LEAST * self.own))
         for number, lease in self.taken.items():
             # what is no longer wanted is not asked for again, and so goes back
             if lease.until - now <= RENEW and now - lease.asked >= AGAIN and short > -lease.millionths:
                 lease.asked = now
                 found.append(self.ask(now, lease.other, number, lease.millionths))
-        if self.alone or short < worth or now < max(self.next_ask, self.settled):
+        if self.alone or short < least or now < max(self.next_ask, self.settled):
             return found
         self.next_ask = now + AGAIN
         busy = {lease.other for lease in (*self.taken.values(), *self.open.values())}
@@ -156,7 +156,7 @@
             if len(self.taken) + len(self.open) >= LEASES:
                 break
             self.number += 1
-            amount = max(worth, min(most, short // count))
+            amount = max(least, min(most, short // count))
             found.append(self.ask(now, place, self.number, amount))
         return found
 
--- a/damsonstream/tiers/near.py
+++ b/damsonstream/tiers/near.py
@@ -1,4 +1,4 @@
-"""Traffic kept near while that is safe: where one fill goes, and how much may leave. No I/O; time in
+"""Traffic kept near while that does no harm: where one fill goes, and how much may leave. No I/O; time in
 seconds.
 
 How it is called: `Near(zones, capacities, now)`; `zone(home, place, came_in, work, carries, parts, now)`
--- a/damsonstream/tiers/verdicts.py
+++ b/damsonstream/tiers/verdicts.py
@@ -19,7 +19,7 @@
   `ramp / STEPS` after it first held the one before; so none holds step n before n of those times since
   the first, whoever is restarted, cut off or late. One that starts takes up the ramp where those are that
   it hears.
-- **What a side of a split does is safe for both**: a loss that one side sees is that side's (others are
+- **What a side of a split does harms neither**: a loss that one side sees is that side's (others are
   answered: `lost here`, never told); a zone's return asks its hubs for no more than the ramp, whoever
   holds it.
 - **Changes are bounded**: an epoch has STEPS + 3 changes at most, and only a loss begins one; with each
@@ -99,8 +99,8 @@
     well: int = 0  # others that are answered
     good: int = 0  # trials in a row, anyone's
     answered_at: float = -1e9  # when its hubs last answered this gateway
-    failed_at: float = 0.0  # when they failed last, or this gateway started
-    refused: int = 0  # the latest epoch that this gateway does not believe
+    failing_at: float = 0.0  # when they were last seen to fail, or this gateway started
+    disbelieved: int = 0  # the latest epoch that this gateway does not believe
     told: Verdict | None = None
     told_at: float = 0.0
 
@@ -112,7 +112,7 @@
 
     @classmethod
     def of(cls, zones: Iterable[str], now: float) -> Verdicts:
-        return cls({zone: Belief(Verdict(zone), now, now, failed_at=now) for zone in zones})
+        return cls({zone: Belief(Verdict(zone), now, now, failing_at=now) for zone in zones})
 
     def hold(self, belief: Belief, verdict: Verdict, now: float) -> None:
         if verdict.state == LOST and belief.verdict.state != LOST:
@@ -133,9 +133,9 @@
         # where it was never seen to fail; but one that just started has not seen enough to say so
         if verdict.epoch > belief.verdict.epoch and verdict.state != WELL:
             answers = now - belief.answered_at < ANSWERS and belief.failing_since < 0
-            if answers and (verdict.state == LOST or now - belief.failed_at > SEEN):
-                belief.refused = verdict.epoch
-            if verdict.epoch <= belief.refused:
+            if answers and (verdict.state == LOST or now - belief.failing_at > SEEN):
+                belief.disbelieved = verdict.epoch
+            if verdict.epoch <= belief.disbelieved:
                 return False
         self.hold(belief, verdict, now)
         return True
@@ -153,7 +153,7 @@
         elif belief.failing_since < 0:
             belief.failing_since = now
         if failing:
-            belief.failed_at = now
+            belief.failing_at = now
 
     def tried(self, zone: str, good: bool, now: float) -> None:
         belief = self.beliefs[zone]
