Peers: one type for what the router hears, one count of GETs, one place to forget a source

Need: reading the change once more showed the router's PeersTold written again as Told and copied between them, each GET entered into two equal queues, the same two lines in three places, the unit of ages and the fleet's name of a cache written twice, a counter and a time that nobody read. Change: council gives PeersTold itself; both scopes of shares look at one queue; forget, whose, known, wire.AGES.

--- a/damsonstream/peers/council.py
+++ b/damsonstream/peers/council.py
@@ -26,11 +26,12 @@
 from damsonstream.peers.spread import Spread
 from damsonstream.peers.subsets import assigned
 from damsonstream.peers.turns import Turns
+from damsonstream.routing.interface import PeersTold
 
 if TYPE_CHECKING:
     from damsonstream.tiers.verdicts import Verdict, Verdicts
 
-MS, S = 10, 10_000
+S = 10_000
 TURN = S // 10  # between datagrams of news: a way through 200 gateways is some six of them
 FANOUT = 2  # others told in a turn: with the repeats of peers/spread.py all but one in a thousand hear of it
 HELLO = 4  # others that one which starts tells of itself, besides its neighbours
@@ -49,18 +50,6 @@
     return int.from_bytes(blake2b(name.encode(), digest_size=4).digest(), "big")
 
 
-class Told:
-    """What the router is to hear: a source by the low half of its hash, and dead, bad, good or well."""
-
-    __slots__ = ("source", "what")
-
-    def __init__(self, source: int, what: str) -> None:
-        self.source, self.what = source, what
-
-    def __repr__(self) -> str:
-        return f"{self.source:08x} {self.what}"
-
-
 class Council:
     def __init__(
         self, name: str, me: int, told: int, here: int, at_home: int, boot: int, price: float, seed: int,
@@ -74,13 +63,13 @@
         self.evidence, self.turns = Evidence(me, told), Turns(me)
         alone = "shares" not in pieces
         self.near = Shares(me, here, at_home, now, alone)
-        self.far = Shares(me, wire.EVERYWHERE, told, now, alone)
+        self.far = Shares(me, wire.EVERYWHERE, told, now, alone, self.near.gets)
         self.spread = Spread(price, now)
         self.spread.count = told
         self.heard_of: dict[int, wire.Seen64] = {}  # by place: which datagrams came; as long as the list
         self.names: dict[str, int] = {name: me}  # places by name; each name has one
         self.later: list[tuple[int, int]] = []  # when, source: returns that are due; emptied by time
-        self.opened: dict[int, int] = {}  # sources told dead: when; emptied as they are no longer
+        self.opened: set[int] = set()  # sources told dead; emptied as they are no longer
         # sources opened here on others' words alone: own sight outweighs them, each is tried by oneself once
         self.on_words: set[int] = set()  # emptied by own ends there, and as the list drops them
         self.private: list[tuple[int, wire.Ask | wire.Grant]] = []  # to whom; emptied each turn
@@ -98,17 +87,24 @@
 
     def asked(self, now: int) -> None:
         self.near.asked(now)
-        self.far.asked(now)
 
     def saw(self, now: int, source: int, home: bool, bad: bool) -> None:
         if "evidence" in self.pieces:
-            self.evidence.saw(now, source, self.here if home else wire.EVERYWHERE, bad)
+            self.evidence.saw(now, source, self.whose(home), bad)
 
     def anew(self, source: int) -> None:
         """It is a new process: what was seen of the old one says nothing."""
         self.on_words.discard(source)
+        self.forget(source)
+
+    def forget(self, source: int) -> None:
+        """What was seen and told of it, by anyone."""
         self.evidence.clear(source)
-        self.opened.pop(source, None)
+        self.opened.discard(source)
+
+    def whose(self, home: bool) -> int:
+        """Whom news of a source concerns: gateways of this location, or all."""
+        return self.here if home else wire.EVERYWHERE
 
     def turn(self, now: int, source: int, home: bool, since: int) -> bool:
         """Whether this gateway is the one to try it now; `since`: when its own cool-down was over."""
@@ -119,8 +115,7 @@
     def trying(self, now: int, source: int, home: bool) -> None:
         self.on_turn(now, source, "begun")
         if "turns" in self.pieces:
-            location = self.here if home else wire.EVERYWHERE
-            word = self.turns.began(now, source, location, self.members.boot)
+            word = self.turns.began(now, source, self.whose(home), self.members.boot)
             if word is not None:
                 self.spread.tell(now, word)
 
@@ -128,11 +123,9 @@
         self.on_turn(now, source, "good" if good else "bad")
         self.on_words.discard(source)
         if good:
-            self.evidence.clear(source)
-            self.opened.pop(source, None)
+            self.forget(source)
         if "turns" in self.pieces:
-            location = self.here if home else wire.EVERYWHERE
-            word = self.turns.ended(now, source, location, self.members.boot, good)
+            word = self.turns.ended(now, source, self.whose(home), self.members.boot, good)
             if word is not None:
                 self.spread.tell(now, word)
 
@@ -188,7 +181,7 @@
 
     # datagrams
 
-    def heard(self, now: int, place: int, data: bytes) -> list[Told]:
+    def heard(self, now: int, place: int, data: bytes) -> list[PeersTold]:
         """A datagram; whatever it holds, it costs bounded work and is counted."""
         if self.stood_still(now):
             self.counted["old"] += 1
@@ -211,7 +204,7 @@
             return []
         self.counted["heard"] += 1
         self.members.anyone(now)
-        told: list[Told] = []
+        told: list[PeersTold] = []
         for item in datagram.items:
             if isinstance(item, (wire.Beat, wire.Doubt, wire.Seen, wire.Trial)) and (
                 item.boot > self.members.boot + AHEAD
@@ -221,7 +214,7 @@
             told += self.take(now, place, item)
         return told
 
-    def take(self, now: int, place: int, item: wire.Item) -> list[Told]:
+    def take(self, now: int, place: int, item: wire.Item) -> list[PeersTold]:
         match item:
             case wire.Beat():
                 doubted = item.by in self.members.silences
@@ -254,16 +247,15 @@
                 (self.near if item.scope == self.here else self.far).lent(now, place, item)
         return []
 
-    def shown(self, now: int, source: int, shows: str) -> list[Told]:
+    def shown(self, now: int, source: int, shows: str) -> list[PeersTold]:
         """What a trial of another means for this gateway: at once, or as it is its turn to come back."""
         if shows in ("good", "well"):
-            self.evidence.clear(source)
-            self.opened.pop(source, None)
+            self.forget(source)
         if shows == "well":
             self.on_words.discard(source)
             heappush(self.later, (now + self.turns.back(source), source))
             return []
-        return [Told(source, shows)] if shows and source not in self.on_words else []
+        return [PeersTold(source, shows)] if shows and source not in self.on_words else []
 
     # zones
 
@@ -319,7 +311,7 @@
             self.woken = now
         return now - self.woken < OLD
 
-    def due(self, now: int) -> tuple[list[tuple[int, bytes]], list[Told]]:
+    def due(self, now: int) -> tuple[list[tuple[int, bytes]], list[PeersTold]]:
         """Once a TURN: datagrams to send, by place, and what the router is to hear."""
         self.stood_still(now)
         self.ticked = now
@@ -418,20 +410,19 @@
             self.chance.shuffle(others)
             self.private += shares.asks(now, others)
 
-    def verdicts(self, now: int) -> list[Told]:
+    def verdicts(self, now: int) -> list[PeersTold]:
         told = []
         while self.later and self.later[0][0] <= now:
-            told.append(Told(heappop(self.later)[1], "well"))
+            told.append(PeersTold(heappop(self.later)[1], "well"))
         if "evidence" not in self.pieces:
             return told
         for source in [s for s in self.evidence.bad_since if s not in self.zone_names]:
             if self.evidence.verdict(now, source) == "dead" and source not in self.opened:
-                self.opened[source] = now
+                self.opened.add(source)
                 if not self.evidence.bad_here(now, source):
                     self.on_words.add(source)
-                told.append(Told(source, "dead"))
-        for source in [s for s in self.opened if s not in self.evidence.bad_since]:
-            del self.opened[source]
+                told.append(PeersTold(source, "dead"))
+        self.opened.intersection_update(self.evidence.bad_since)
         return told
 
     def counts(self) -> dict[str, int | str]:
--- a/damsonstream/peers/evidence.py
+++ b/damsonstream/peers/evidence.py
@@ -27,7 +27,6 @@
 WINDOW = 3 * S  # as long as the breaker's own
 FRESH = S + S // 2  # for which an answer keeps a source for others: two fills of a gateway at full size
 MASK = (1 << 62) - 1  # later than any time
-AGES = S // 10  # what an age is counted in
 AGREE = 3  # gateways that saw nothing but bad ends
 KEEP = 1  # gateways that get answers: a source that fails in part is each breaker's own matter
 # For others to object, before it counts: a way round the fleet, and an answer at one that has heard of it.
@@ -116,7 +115,7 @@
             if len(self.told) >= SOURCES:
                 del self.told[min(self.told, key=lambda s: max(e.at for e in self.told[s].values()))]
             entries = self.told[seen.source] = {}
-        entry = Entry(seen.boot, seen.beat, seen.good, seen.bad, now - seen.age * AGES)
+        entry = Entry(seen.boot, seen.beat, seen.good, seen.bad, now - seen.age * wire.AGES)
         known = entries.get(seen.by)
         if known is not None and not known.before(entry):
             return False
@@ -198,7 +197,7 @@
                 continue
             if bad and any(not is_bad and now - at < LATELY for at, is_bad in own.ends):
                 continue  # it gave something here lately: it may fail in part
-            age = min(255, (now - own.ends[-1][0]) // AGES)
+            age = min(255, (now - own.ends[-1][0]) // wire.AGES)
             seen = wire.Seen(self.me, boot, own.number + 1, source, own.location,
                              min(255, good), min(255, bad), age)  # fmt: skip
             answers = own.well_since(self.first_bad(source)) or own.said[1] > 0
--- a/damsonstream/peers/shares.py
+++ b/damsonstream/peers/shares.py
@@ -54,8 +54,11 @@
 
 
 class Shares:
-    def __init__(self, me: int, scope: int, count: int, now: int, alone: bool = False) -> None:
-        """`count`: gateways of the scope. `alone`: no messages are sent, and it keeps to its equal part."""
+    def __init__(
+        self, me: int, scope: int, count: int, now: int, alone: bool = False, gets: deque[int] | None = None
+    ) -> None:
+        """`count`: gateways of the scope. `alone`: no messages are sent, and it keeps to its equal part.
+        `gets`: those of another scope's, where they are the same GETs."""
         self.me, self.scope, self.alone = me, scope, alone
         self.count, self.own = max(1, count), WHOLE // max(1, count)
         self.before = self.own if alone else 0  # what it surely owns until `settled`
@@ -65,7 +68,7 @@
         self.open: dict[int, Lease] = {}  # asks without an answer, by their number; emptied by time
         self.next_ask = now
         self.number = now & 0x3FFFFFFF  # of leases and asks; not those of an earlier self
-        self.gets: deque[int] = deque()  # when; emptied as the span rolls
+        self.gets: deque[int] = deque() if gets is None else gets  # when; emptied as the span rolls
         self.usual = 0.0  # GETs a second that one is asked for, the mean as far as it is known; 0: not known
 
     @staticmethod
--- a/damsonstream/peers/spread.py
+++ b/damsonstream/peers/spread.py
@@ -19,7 +19,6 @@
 
 S = 10_000
 WAITING = 128  # items on their way; over it the one passed on most goes
-AGES = S // 10  # what an age is counted in
 STALE = 2 * S  # after which an item is no news any more, passed on or not
 GROW = 0.75  # times the natural logarithm of the fleet, and one: 200 gateways pass on up to 5 times
 BURST = 10 * S  # of silence is saved up for when something happens
@@ -58,8 +57,8 @@
 
 def older(item: wire.News, held: int) -> wire.News:
     """As it is passed on after so long."""
-    if isinstance(item, wire.Seen) and held >= AGES:
-        return structs.replace(item, age=min(255, item.age + held // AGES))
+    if isinstance(item, wire.Seen) and held >= wire.AGES:
+        return structs.replace(item, age=min(255, item.age + held // wire.AGES))
     return item
 
 
--- a/damsonstream/peers/turns.py
+++ b/damsonstream/peers/turns.py
@@ -56,7 +56,6 @@
         self.known: dict[int, Turn] = {}  # by source; the least recent goes over KEPT
         self.numbers: dict[tuple[int, int], tuple[int, int]] = {}  # (source, gateway): boot and number heard
         self.number = 0
-        self.spared = 0  # trials of one's own that others' made needless
 
     def turn(self, now: int, source: int) -> Turn:
         turn = self.known.get(source)
@@ -82,7 +81,6 @@
         if turn is not None and turn.good and now - turn.good_at < FREE:
             return True
         if turn is not None and turn.by not in (-1, self.me) and now < turn.until:
-            self.spared += 1
             return False
         start = max(since, turn.until if turn is not None and turn.by != self.me else 0)
         return now >= start + self.wait(source, looking)
--- a/damsonstream/peers/wire.py
+++ b/damsonstream/peers/wire.py
@@ -101,6 +101,7 @@
 News = Beat | Doubt | Seen | Trial | Zone  # passed on from one to the next
 Item = News | Ask | Grant  # the last two are between two gateways
 EVERYWHERE = 65_535
+AGES = 1_000  # tenths of a millisecond that one of an age is
 
 
 class Datagram(Struct, array_like=True, frozen=True):
--- a/damsonstream/program/gathering.py
+++ b/damsonstream/program/gathering.py
@@ -13,10 +13,11 @@
 
 import anyio
 
-from damsonstream.peers.council import TURN, Council, Told
+from damsonstream.peers.council import TURN, Council
 from damsonstream.program.config import Config
 from damsonstream.protocol import bulletin
 from damsonstream.routing.gateway import NS, TENTHS, Clock
+from damsonstream.routing.interface import PeersTold
 from damsonstream.routing.router import digest
 from damsonstream.transport.peers import Peers
 
@@ -28,9 +29,14 @@
 SINCE = 1_767_225_600  # Unix seconds from which boots are counted, in tenths: 32 bits last for 13 years
 
 
+def known(cache: str) -> int:
+    """What the fleet calls it: the low half of its hash, as the router has it."""
+    return digest(cache) & 0xFFFFFFFF
+
+
 class Gathering:
     def __init__(
-        self, config: Config, pieces: frozenset[str], clock: Clock, tell: Callable[[Told], None],
+        self, config: Config, pieces: frozenset[str], clock: Clock, tell: Callable[[PeersTold], None],
         recorder: Recorder | None = None,
     ) -> None:  # fmt: skip
         self.clock, self.tell, self.recorder = clock, tell, recorder
@@ -49,7 +55,7 @@
         self.peers = Peers(config.peer_listen, config.peers, self.heard)
 
     def keeps(self, cache: str) -> bool:
-        return self.council.keeps(digest(cache) & 0xFFFFFFFF)
+        return self.council.keeps(known(cache))
 
     async def open(self) -> None:
         await self.peers.open()
@@ -67,11 +73,10 @@
         if event.whole:
             self.names = {}
         for line in event.entries:
-            known = digest(line.cache) & 0xFFFFFFFF
             if line.state == "left":
-                self.names.pop(known, None)
+                self.names.pop(known(line.cache), None)
             else:
-                self.names[known] = line.cache
+                self.names[known(line.cache)] = line.cache
 
     def name(self, source: int) -> str:
         return self.names.get(source, f"{source:08x}")
@@ -80,7 +85,7 @@
         if self.recorder is not None:
             self.recorder.turn(now, self.name(source), state)
 
-    def pass_on(self, told: Iterable[Told]) -> None:
+    def pass_on(self, told: Iterable[PeersTold]) -> None:
         for one in told:
             log.info("told", extra={"source": self.name(one.source), "what": one.what})
             if self.recorder is not None:
@@ -126,7 +131,7 @@
 
 
 def begin(
-    config: Config, pieces: frozenset[str], clock: Clock, tell: Callable[[Told], None],
+    config: Config, pieces: frozenset[str], clock: Clock, tell: Callable[[PeersTold], None],
     recorder: Recorder | None = None,
 ) -> Gathering | None:  # fmt: skip
     if config.peer_listen is None or not config.peers or not config.messages:
--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -29,7 +29,6 @@
 from damsonstream.transport.front import Answer, Front
 
 if TYPE_CHECKING:  # only loaded where they are on: idle memory of a gateway must not rise
-    from damsonstream.peers.council import Told
     from damsonstream.program.gathering import Gathering
     from damsonstream.records.recorder import Recorder
 
@@ -88,10 +87,11 @@
     def join(self, pieces: frozenset[str], clock: Clock) -> Gathering | None:
         from damsonstream.program import gathering
 
-        return gathering.begin(self.config, pieces, clock, self.peers_told, self.recorder)
+        # the gateway is made after it, and told by it only once it runs
+        def tell(told: PeersTold) -> None:
+            self.gateway.tell(told)
 
-    def peers_told(self, told: Told) -> None:
-        self.gateway.tell(PeersTold(told.source, told.what))
+        return gathering.begin(self.config, pieces, clock, tell, self.recorder)
 
     def told(self, event: bulletin.Event, number: int) -> None:
         if isinstance(event, bulletin.ListChanged):
