--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -17,7 +17,7 @@
 from damsonstream.together.links import CLEAR, LinkFault, Links
 
 SCRIPTS = Path("examples/together")
-AT_ONCE = 2  # plays side by side: some 16 processes on the cores of a small machine; with 3 one verdict in 77 was off
+AT_ONCE = 2  # plays side by side: some 16 processes; with 3 one verdict in 77 was off
 
 
 def play(name: str, *more: str) -> tuple[int, dict[str, object], str]:
