--- a/damsonstream/together/checks.py
+++ b/damsonstream/together/checks.py
@@ -136,6 +136,13 @@
                                    and check.of in ("", one.source, one.zone)))  # fmt: skip
 
 
+def direct_a_second(check: Check, seen: Seen) -> float:
+    """The most fills in a second that caches (of a zone) asked of the vault, past all hubs."""
+    return most_in_a_second(sorted(one.at for one in seen.fills if check.start <= one.at < check.end
+                                   and one.home and not one.zone and one.asker.startswith("cache")
+                                   and check.of in ("", one.home)))  # fmt: skip
+
+
 def fills(check: Check, seen: Seen) -> float:
     return sum(check.start <= one.at < check.end and check.of in ("", one.source, one.zone)
                for one in seen.fills)  # fmt: skip
@@ -268,6 +275,7 @@
     "near": near,
     "spilt": spilt,
     "spill-a-second": spill_a_second,
+    "direct-a-second": direct_a_second,
     "fills": fills,
     "fills-a-second": fills_a_second,
     "told-lost": told_lost,
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -10,9 +10,8 @@
 from hypothesis import strategies as st
 
 from damsonstream.tiers.near import GOLDEN, SPAN, Near
-from damsonstream.tiers.shape import HUB, Node, Shape, Zone, shape_of
+from damsonstream.tiers.shape import HUB, RAMP, Node, Shape, Zone, shape_of
 from damsonstream.tiers.verdicts import CARE, STEPS, Verdict, Verdicts, merged
-from damsonstream.tiers.shape import RAMP
 from damsonstream.tiers.zones import HOLD, LOST, RETURNING, WELL
 
 verdicts = st.builds(
