Evidence: bad ends are told by their own distance from good ones, and a parent that passes on is seen to live

(1) LATELY was counted until now: a breaker that opened on half failures brings no more ends, so that a second later its gateway 'saw nothing but bad ends'. (2) A fill by way of the origin was noted for the origin only (Router.source_ended), so that a cold parent had bad ends and no good ones in evidence. Change: a bad end is told if it came a second after the last good one or fifth in a row; who got an answer after the first bad end objects whatever came after; fills by way of the origin count as answers of the parent for peers and zones. A zone counts as failing only by hubs with a run of bad ends or told dead.

--- a/damsonstream/peers/council.py
+++ b/damsonstream/peers/council.py
@@ -292,11 +292,15 @@
         if answered or (failing and own):
             self.evidence.saw(now, source, wire.EVERYWHERE, not answered)
         well, agree = self.evidence.tally(now, source)
-        dead = sum(source_id(hub) in self.agreed for hub in hubs) > MOST * len(hubs)
+        dead = sum(map(self.dead, hubs)) > MOST * len(hubs)
         self.zones.sees(zone, failing, agree, well, now / S, answered, own, dead)
         if answered or own:
             self.zones.tried(zone, answered, now / S)
 
+    def dead(self, hub: str) -> bool:
+        """Whether enough gateways saw nothing but bad ends of it, and none an answer since."""
+        return source_id(hub) in self.agreed
+
     def zone_carries(self, now: int, zone: str) -> float:
         """Share of its own objects that a zone's hubs are asked for."""
         if self.zones is None:
--- a/damsonstream/peers/evidence.py
+++ b/damsonstream/peers/evidence.py
@@ -27,12 +27,16 @@
 WINDOW = 3 * S  # as long as the breaker's own
 FRESH = S + S // 2  # for which an answer keeps a source for others: two fills of a gateway at full size
 MASK = (1 << 62) - 1  # later than any time
+LONG = 1 << 40  # before any time
 AGREE = 3  # gateways that saw nothing but bad ends
 KEEP = 1  # gateways that get answers: a source that fails in part is each breaker's own matter
 # For others to object, before it counts: a way round the fleet, and an answer at one that has heard of it.
 # With 0.6 s at 187 gateways parents that fail in half were opened by the hundreds (zone+mass).
 OBJECT, ROUND = 3 * S // 10, 3 * S // 20  # and so much more for each power of e of the fleet
-LATELY = S  # since a good end here, before bad ones are told: longer, and a busy gateway opens it alone first
+# Between the last good end here and the last bad one, before bad ones are told, or so many of them in a row
+# (the breaker's own least count). Between ends, not until now: a breaker that opened on half failures brings
+# no more ends, so that silence is no sign. Longer, and a busy gateway opens it alone first.
+LATELY, RUN = S, 5
 SOURCES, REPORTERS = 512, 32  # kept; of a source the entries heard last, of sources those heard of last
 QUIET = S // 2  # between two words of one gateway on one source
 
@@ -42,7 +46,8 @@
     """What this gateway saw of a source lately."""
 
     ends: deque[tuple[int, bool]] = field(default_factory=deque)  # when, bad; emptied as the window rolls
-    said: tuple[int, int] = (0, 0)
+    good_at: int = -LONG  # when the last good end was
+    said: tuple[int, int] = (0, 0)  # good or bad ends
     said_at: int = -S
     number: int = 0
     location: int = wire.EVERYWHERE
@@ -59,7 +64,13 @@
         return (0, run) if self.ends and self.ends[-1][1] else (run, 0)
 
     def well_since(self, when: int) -> bool:
-        return bool(self.ends) and not self.ends[-1][1] and self.ends[-1][0] > when
+        """Whether it gave anything here later than then, whatever came after."""
+        return self.good_at > when
+
+    def only_bad(self, now: int) -> bool:
+        """Whether it gives nothing here: for some time, or for a run of ends."""
+        run = self.roll(now)[1]
+        return run >= RUN or (run > 0 and self.ends[-1][0] - self.good_at >= LATELY)
 
 
 @dataclass(slots=True, frozen=True)
@@ -101,6 +112,7 @@
         own = self.own.setdefault(source, Own(location=location))
         own.location = location
         own.ends.append((now, bad))
+        own.good_at = own.good_at if bad else now
         if len(own.ends) > self.KEPT:
             own.ends.popleft()
         if source in self.told:
@@ -157,9 +169,9 @@
             self.bad_since.pop(source, None)
 
     def bad_here(self, now: int, source: int) -> bool:
-        """Whether this gateway has seen a bad end itself."""
+        """Whether this gateway has seen nothing but bad ends itself."""
         own = self.own.get(source)
-        return own is not None and own.roll(now)[1] > 0
+        return own is not None and own.only_bad(now)
 
     def settled(self, now: int, seen: wire.Seen) -> bool:
         """Whether enough say the same already."""
@@ -192,16 +204,19 @@
             if not own.ends:
                 del self.own[source]
                 continue
+            if bad and own.only_bad(now):
+                good, at = 0, own.ends[-1][0]
+            elif own.well_since(self.first_bad(source)) or (own.said[1] > 0 and good):
+                good, bad, at = max(1, good), 0, own.good_at  # it gives here, if not each time
+            else:
+                continue  # it may fail in part: nothing that others should act on
             same = (own.said[0] > 0, own.said[1] > 0) == (good > 0, bad > 0)
             if now - own.said_at < (WINDOW // 2 if same else QUIET):
                 continue
-            if bad and any(not is_bad and now - at < LATELY for at, is_bad in own.ends):
-                continue  # it gave something here lately: it may fail in part
-            age = min(255, (now - own.ends[-1][0]) // wire.AGES)
+            age = min(255, (now - at) // wire.AGES)
             seen = wire.Seen(self.me, boot, own.number + 1, source, own.location,
                              min(255, good), min(255, bad), age)  # fmt: skip
-            answers = own.well_since(self.first_bad(source)) or own.said[1] > 0
-            if (bad or answers) and not self.settled(now, seen):
+            if not self.settled(now, seen):
                 own.said, own.said_at, own.number = (good, bad), now, own.number + 1
                 found.append(seen)
         return found
--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -533,12 +533,18 @@
         half_open = trial and node.breaker.state == "Half-Open"
         if self.fleet and half_open:
             self.fleet.tried(self.now, node.known, node.home, weight < 1)
-        elif self.fleet:
-            self.fleet.saw(self.now, node.known, node.home, weight >= 1)
-        if self.tiers:
-            self.tiers.saw(self.now, node.name, weight >= 1)
+            if self.tiers:
+                self.tiers.saw(self.now, node.name, weight >= 1)
+        else:
+            self.seen(node, weight >= 1)
         self.changed(node, node.breaker.note(self.now, weight, trial))
 
+    def seen(self, node: Node, bad: bool) -> None:
+        if self.fleet:
+            self.fleet.saw(self.now, node.known, node.home, bad)
+        if self.tiers:
+            self.tiers.saw(self.now, node.name, bad)
+
     def changed(self, node: Node, change: str) -> None:
         if change:
             self.actions.append(i.Trace(f"{node.role} {node.name} {change}", node.breaker.judged))
@@ -629,8 +635,8 @@
             source.first_byte = usual * (1.019 if event.first_byte > usual else 0.999)
             source.ok_at, source.run, judged.quick_at = self.now, 0, judged.quick_at if slow else self.now
             self.note(judged, slow, judged in out.trials)
-            if self.tiers and judged is not source:
-                self.tiers.saw(self.now, source.name, False)  # it passed on what the origin gave
+            if judged is not source:  # it passed on what the origin gave: others are told that it lives
+                self.seen(source, False)
         elif blamed is not None and blamed is not out.cache:
             self.note(blamed, 1.0, blamed in out.trials)
         elif event.result == "recalled" and slow and out.cache.ok_at > out.sent:
--- a/damsonstream/tiers/service.py
+++ b/damsonstream/tiers/service.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -28,6 +29,9 @@
 from damsonstream.tiers.zones import MOST, TRIES
 
 S = 10_000
+# Bad ends in a row at a hub whose breaker is not Closed, before it counts as one that gives nothing. A
+# breaker opens on half failures too: at two fifths one hub in sixteen has such a run, two at once hardly any.
+RUN = 3
 TRIALS = 2.0 * TRIES  # fills a second by all together at a lost zone: enough good ones come within a second
 SPILLED, TRIED, GUARDED = "spilled", "tried", "guarded"  # which budget a fill was paid from
 
@@ -49,6 +53,9 @@
     def zone_state(self, now: int, zone: str) -> tuple[str, int, int]:
         """State, twentieths of a return, flaps."""
 
+    def dead(self, hub: str) -> bool:
+        """Whether enough gateways saw nothing but bad ends of it."""
+
     def part(self, now: int, home: bool) -> float: ...
 
 
@@ -76,6 +83,9 @@
         verdict = self.zones.beliefs[zone].verdict
         return self.zones.state(zone, now / S), verdict.progress, verdict.flaps
 
+    def dead(self, hub: str) -> bool:
+        return False
+
     def part(self, now: int, home: bool) -> float:
         return 1 / self.gateways
 
@@ -100,6 +110,7 @@
         self.near = Near(Shape(), self.phase)
         self.shield = Shield(0.0, now / S)
         self.shut: set[str] = set()  # hubs whose breaker is not Closed; emptied as they are, or go
+        self.runs: Counter[str] = Counter()  # bad ends in a row, by hub; some of the file's
         self.sights: dict[str, Sight] = {}  # as long as the file's zones
         self.hubs: dict[str, list[str]] = {}  # by zone
         self.homes: set[str] = set()  # zones of this gateway's own caches; some of the file's
@@ -134,6 +145,7 @@
         for node in self.shape.role(HUB):
             self.hubs.setdefault(node.zone, []).append(node.name)
         self.shut.intersection_update(self.shape.nodes)
+        self.runs = Counter({name: run for name, run in self.runs.items() if name in self.shape.nodes})
 
     # what the router asks and tells
 
@@ -204,6 +216,7 @@
             self.shield.ended(now / S, not bad)
         elif (sight := self.sights.get(other.zone)) is not None:
             sight.good_at, sight.bad_at = (sight.good_at, now) if bad else (now, sight.bad_at)
+            self.runs[source] = self.runs[source] + 1 if bad else 0
             if other.zone not in self.homes:
                 self.near.budgets[other.zone].judge(not bad)
 
@@ -211,15 +224,18 @@
         """Its breaker's new state."""
         if state == "Closed":
             self.shut.discard(source)
+            self.runs.pop(source, None)
         elif source in self.shape.nodes:
             self.shut.add(source)
 
     # zones
 
     def failing(self, zone: str) -> bool:
-        """Most of its hubs are not Closed here."""
+        """Most of its hubs give nothing: not Closed here, by a run of bad ends or on the fleet's word. A hub
+        that is slow or fails in part is its breaker's matter."""
         hubs = self.hubs.get(zone, [])
-        return sum(name in self.shut for name in hubs) > MOST * len(hubs)
+        gone = [n for n in hubs if n in self.shut and (self.runs[n] >= RUN or self.common.dead(n))]
+        return len(gone) > MOST * len(hubs)
 
     def tick(self, now: int) -> None:
         for zone, sight in self.sights.items():
