--- a/damsonstream/tiers/checks.py
+++ b/damsonstream/tiers/checks.py
@@ -20,6 +20,7 @@
     kind: str  # loop, crossing, unknown, vault, orphan, no-way, too-deep, role, zone, capacity or size
     what: str
     loop: tuple[str, ...] = ()
+    of: str = ""  # the zone or node at which it is to be mended
 
 
 def loops(edges: Iterable[tuple[str, str]]) -> list[tuple[str, ...]]:
@@ -94,7 +95,7 @@
         return [Wrong("size", f"{len(shape.nodes)} nodes, {MOST_NODES} at the most")]
     found = [*members(shape)]
     own = loops(shape.edges())
-    found += [Wrong("loop", f"fills run in a circle: {told(loop)}", loop) for loop in own]
+    found += [Wrong("loop", f"fills run in a circle: {told(loop)}", loop, loop[0]) for loop in own]
     if not own:
         found += [*reach(shape)]
         if before is not None:
@@ -106,31 +107,32 @@
     vaults = [node.name for node in shape.vaults]
     if len(vaults) != 1:
         yield Wrong(
-            "vault", f"there must be one vault, there are {len(vaults)}: {', '.join(vaults) or 'none'}"
-        )
+            "vault", f"there must be one vault, there are {len(vaults)}: {', '.join(vaults) or 'none'}",
+            of=vaults[-1] if vaults else "",
+        )  # fmt: skip
     for name in sorted(shape.nodes):
         node = shape.nodes[name]
         if node.role not in ROLES:
-            yield Wrong("role", f"{name} is a {node.role}, none of {', '.join(ROLES)}")
+            yield Wrong("role", f"{name} is a {node.role}, none of {', '.join(ROLES)}", of=name)
         if node.zone not in shape.zones:
-            yield Wrong("zone", f"{name} is in {node.zone}, which is no zone")
+            yield Wrong("zone", f"{name} is in {node.zone}, which is no zone", of=name)
         if node.role == VAULT and node.sources:
-            yield Wrong("role", f"{name} is the vault and fills from {', '.join(node.sources)}")
+            yield Wrong("role", f"{name} is the vault and fills from {', '.join(node.sources)}", of=name)
         if node.role != VAULT and not node.sources:
-            yield Wrong("orphan", f"{name} has no source")
+            yield Wrong("orphan", f"{name} has no source", of=name)
         for source in node.sources:
             other = shape.nodes.get(source)
             if other is None:
-                yield Wrong("unknown", f"{name} fills from {source}, which is not there")
+                yield Wrong("unknown", f"{name} fills from {source}, which is not there", of=name)
             elif other.role == CACHE:
-                yield Wrong("role", f"{name} fills from {source}, which is a cache")
+                yield Wrong("role", f"{name} fills from {source}, which is a cache", of=name)
         if len(set(node.sources)) != len(node.sources):
-            yield Wrong("role", f"{name} names a source twice")
+            yield Wrong("role", f"{name} names a source twice", of=name)
     for name in sorted(shape.zones):
         for preferred in shape.zones[name].prefers:
             if preferred not in shape.zones or preferred == name:
                 what = "itself" if preferred == name else "no zone"
-                yield Wrong("zone", f"zone {name} spills to {preferred}, which is {what}")
+                yield Wrong("zone", f"zone {name} spills to {preferred}, which is {what}", of=name)
 
 
 def reach(shape: Shape) -> Iterable[Wrong]:
@@ -150,9 +152,10 @@
                     "too-deep",
                     f"{name} reaches the vault by {len(long)} nodes, {shape.deepest} at the most: "
                     f"{' -> '.join(long)}",
+                    of=name,
                 )
             else:
-                yield Wrong("no-way", f"{name} has no way to the vault")
+                yield Wrong("no-way", f"{name} has no way to the vault", of=name)
 
 
 def any_way(shape: Shape, start: str) -> tuple[str, ...]:
@@ -187,6 +190,7 @@
             "crossing",
             f"old and new run in a circle together: {', '.join(sides)}; take the old way out first",
             loop,
+            loop[0],
         )
 
 
--- a/damsonstream/tiers/draw.py
+++ b/damsonstream/tiers/draw.py
@@ -1,12 +1,13 @@
 """A shape as lines of text, and as SVG. No files.
 
 How it is called: `tree(shape)` gives lines, from the vault down; `svg(shape)` a drawing, zones as columns,
-tiers as rows.
+tiers as rows; `loss_svg(lost)` where the fills go when zones are lost (tiers/loss.py).
 """
 
 from __future__ import annotations
 
 from damsonstream.incident.words import plain
+from damsonstream.tiers.loss import Lost
 from damsonstream.tiers.shape import Shape
 
 
@@ -106,3 +107,33 @@
     axes.set_xlim(-0.4, left)
     axes.set_ylim(-0.5 - max((t for t, _ in rows), default=0), 0.5)
     return written(whole, f"Tiers, revision {shape.revision}")
+
+
+def loss_svg(lost: Lost) -> str:
+    """Each zone's own fills, and where those of the lost ones go."""
+    from matplotlib.figure import Figure
+
+    from damsonstream.report.charts import LINES
+    from damsonstream.report.charts import svg as written
+
+    zones = sorted(lost.asked)
+    whole = Figure(figsize=(max(5.0, 1.3 * len(zones) + 2), 3.4), layout="constrained")
+    axes = whole.subplots()
+    own = [0.0 if zone in lost.zones else lost.asked[zone] for zone in zones]
+    axes.bar(zones, own, color="#c3cad2", label="its own caches")
+    bottom = dict(zip(zones, own, strict=True))
+    for number, home in enumerate(sorted({home for home, _ in lost.spilt})):
+        into = [lost.spilt.get((home, zone), 0.0) for zone in zones]
+        axes.bar(zones, into, bottom=[bottom[zone] for zone in zones], color=LINES[number % len(LINES)],
+                 label=f"from {plain(home, 18)}")  # fmt: skip
+        for zone, fills in zip(zones, into, strict=True):
+            bottom[zone] += fills
+    for place, zone in enumerate(zones):
+        if zone in lost.limits:
+            top = lost.asked[zone] + lost.limits[zone]
+            axes.plot([place - 0.4, place + 0.4], [top, top], color="#b03a2e", lw=1.2)
+    axes.set_ylabel("fills a second")
+    title = f"Lost: {', '.join(lost.zones)}; vault {lost.vault:g}; nowhere {sum(lost.held_back.values()):g}"
+    axes.set_title(title, fontsize=9)
+    axes.legend(fontsize=7)
+    return written(whole, title)
--- a/damsonstream/tiers/load.py
+++ b/damsonstream/tiers/load.py
@@ -1,7 +1,8 @@
 """A shape as an operator writes it, in KDL.
 
-How it is called: `load(path)` and `parse(text, file)` give a `Shape`, or raise `settings.kdl.Fault` with
-file, line and field. What the shape means as a whole is for `checks.py`.
+How it is called: `load(path)` and `parse(section)` give a `Shape`, or raise `settings.kdl.Fault` with file,
+line and field; `lines(path)` the line of each node and zone by name, `text(shape)` a shape as KDL. What the
+shape means as a whole is for `checks.py`.
 """
 
 from __future__ import annotations
@@ -50,3 +51,35 @@
             section.finish()
     top.finish()
     return shape_of(revision, nodes.values(), zones.values(), vault_cap=cap, deepest=deepest)
+
+
+def lines(path: str) -> dict[str, int]:
+    """Where each zone and node of a file stands; of the first, where a name is given twice."""
+    found: dict[str, int] = {}
+    top = kdl.read(path)
+    for kind in ("zone", *ROLES):
+        for section in top.all(kind):
+            if section.args and isinstance(section.args[0], str):
+                found.setdefault(section.args[0], section.line)
+    return found
+
+
+def quoted(name: str) -> str:
+    return '"' + name.replace("\\", "\\\\").replace('"', '\\"') + '"'
+
+
+def text(shape: Shape) -> str:
+    """The same shape when it is read again."""
+    made = [f"revision {shape.revision}", f"vault-cap {shape.vault_cap:.12g}", f"deepest {shape.deepest}"]
+    for name in sorted(shape.zones):
+        zone = shape.zones[name]
+        fields = [f"prefers {' '.join(map(quoted, zone.prefers))}"] if zone.prefers else []
+        fields += [f"takes {zone.takes:.12g}", f"gives {zone.gives:.12g}", f'ramp "{zone.ramp:.12g}s"']
+        fields += [f"region {quoted(zone.region)}"] if zone.region else []
+        made.append(f"zone {quoted(name)} {{ {'; '.join(fields)}; }}")
+    for role in reversed(ROLES):
+        for node in shape.role(role):
+            fields = [f"zone {quoted(node.zone)}", f"capacity {node.capacity:.12g}"]
+            fields += [f"sources {' '.join(map(quoted, node.sources))}"] if node.sources else []
+            made.append(f"{role} {quoted(node.name)} {{ {'; '.join(fields)}; }}")
+    return "\n".join(made) + "\n"
--- a/damsonstream/tiers/service.py
+++ b/damsonstream/tiers/service.py
@@ -26,7 +26,7 @@
 from damsonstream.tiers.shape import CACHE, HUB, VAULT, Shape
 from damsonstream.tiers.shield import Shield
 from damsonstream.tiers.verdicts import Verdicts
-from damsonstream.tiers.zones import MOST, TRIES
+from damsonstream.tiers.zones import FIRST, MOST, TRIES
 
 S = 10_000
 # Bad ends in a row at a hub whose breaker is not Closed, before it counts as one that gives nothing. A
@@ -96,7 +96,7 @@
 
     bad_at: int = -1
     good_at: int = -1
-    told_at: int = -1  # up to when its ends were passed on
+    answered: bool = False  # since its ends were passed on last
     tries: Budget | None = None
 
 
@@ -170,7 +170,8 @@
             vault = [name for name in vault if self.shield.fits(at)]
         found = [name for zone in ways for name in allowed if zones.get(name) == zone]
         if home not in ways:
-            tries = self.tries(home).has(TRIALS * part, at)
+            lost = self.common.zone_carries(now, home) < FIRST  # what returns has its ramp
+            tries = lost and self.tries(home).has(TRIALS * part, at)
             found = [n for n in allowed if zones.get(n) == home and (tries or n in self.shut)] + found
         found += vault
         if not found:
@@ -194,7 +195,7 @@
         if other.zone != node.zone:
             self.near.spend(node.zone, other.zone)
             return SPILLED
-        if self.common.zone_carries(now, node.zone) < 1 and source not in self.shut:
+        if self.common.zone_carries(now, node.zone) < FIRST and source not in self.shut:
             self.tries(node.zone).saved -= 1.0
             return TRIED
         return ""
@@ -216,6 +217,7 @@
             self.shield.ended(now / S, not bad)
         elif (sight := self.sights.get(other.zone)) is not None:
             sight.good_at, sight.bad_at = (sight.good_at, now) if bad else (now, sight.bad_at)
+            sight.answered |= not bad
             self.runs[source] = self.runs[source] + 1 if bad else 0
             if other.zone not in self.homes:
                 self.near.budgets[other.zone].judge(not bad)
@@ -239,6 +241,5 @@
 
     def tick(self, now: int) -> None:
         for zone, sight in self.sights.items():
-            own, answered = sight.bad_at > sight.good_at, sight.good_at > sight.told_at
+            own, answered, sight.answered = sight.bad_at > sight.good_at, sight.answered, False
             self.common.zone_saw(now, zone, self.failing(zone), own, answered, self.hubs.get(zone, []))
-            sight.told_at = now
