Zones: what was seen before a return says nothing against it; fleets with a hierarchy in virtual time

Need: emulated fleet of 20, a third of all words lost: a zone in return was lost again at t=23 s by gateways that had not tried its hubs yet, and came back 20 s later; three others held it 'Lost here' for good. Cause: Verdicts.enough counted 'has ever seen it fail' and the latch of told-dead hubs, both older than the return. Change: own bad ends count for 3 s and only since the return began here, told-dead hubs since then (Council.agreed has times).

--- /dev/null
+++ b/benchmarks/zones.py
@@ -0,0 +1,115 @@
+"""Fleets that lose a zone, in virtual time, by the modules that decide in service: a table, and a chart.
+
+How it is called: `python -P benchmarks/zones.py [--most 200] [--out FOLDER]`. A zone's hubs are gone from 8 s
+to 18 s; 50 s in all. Baselines: each gateway alone, the file's order without limits, nothing ever spills.
+Emulated figures, no bench's and no real fleet's.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sys
+import time
+from pathlib import Path
+
+sys.path.append(".")
+from damsonstream.tiers.zones import LOST, WELL
+from damsonstream.virtual.links import Links, S, apart
+from damsonstream.virtual.zones import HOWS, ZoneFleet
+
+FAULTS = ("calm", "lost 30%", "late 5 s", "split")
+MEANING = """agree: seconds from the first verdict until 99% hold it; spill: the worst second into a zone, over its limit
+near: of fills before; nowhere: of fills while it is lost; cold: the worst of the first four seconds after the hubs
+are back, over what they were asked for before; whole: seconds from then until all hold it well; changes: verdicts
+of one gateway"""  # noqa: E501
+NAMES = ("agree", "spill", "near", "nowhere", "cold", "whole", "changes")
+
+
+def links(fault: str, seed: int) -> Links:
+    chance = random.Random(seed)
+    match fault:
+        case "lost 30%":
+            return Links(chance, lost=0.3, repeated=0.1)
+        case "late 5 s":
+            return Links(chance, most=5 * S)
+        case "split":
+            return Links(chance, cuts=[apart(5 * S, 15 * S, lambda place: place % 3 == 0)])
+    return Links(chance)
+
+
+def play(count: int, zones: int, seed: int, how: str, fault: str) -> dict[str, float]:
+    fleet = ZoneFleet(count, zones, seed, how, links(fault, seed))
+    fleet.until(8 * S)
+    fleet.lose("z0")
+    agree = whole = 99.0
+    first = -1.0
+    for tenth in range(1, 101):
+        fleet.until(8 * S + tenth * S // 10)
+        held = fleet.hold("z0", LOST)
+        first = tenth / 10 if first < 0 and held > 0 else first
+        if agree == 99.0 and held >= 0.99:
+            agree = tenth / 10 - first
+    fleet.back("z0")
+    for tenth in range(1, 321):
+        fleet.until(18 * S + tenth * S // 10)
+        if whole == 99.0 and fleet.hold("z0", WELL) == 1.0:
+            whole = tenth / 10
+    own = [f for f in fleet.fills_seen if f.home == "z0"]
+    before = sum(1 for f in own if f.to == "z0" and 3 * S <= f.at < 8 * S) / 5
+    cold = max(sum(1 for f in own if f.to == "z0" and (18 + n) * S <= f.at < (19 + n) * S) for n in range(4))
+    return {
+        "agree": agree, "spill": fleet.worst_spill(), "near": fleet.near_share(2 * S, 8 * S),
+        "nowhere": fleet.lost_share(10 * S, 18 * S), "cold": cold / max(1.0, before), "whole": whole,
+        "changes": float(fleet.changes()),
+    }  # fmt: skip
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--most", type=int, default=200)
+    parser.add_argument("--out", type=Path)
+    chosen = parser.parse_args()
+    print(MEANING)
+    print(f"{'gateways':>8} {'zones':>5} {'links':9} {'how':9} " + " ".join(f"{name:>8}" for name in NAMES))
+    rows = []
+    for count, zones in ((20, 3), (200, 3), (200, 12), (1000, 12)):
+        if count > chosen.most:
+            continue
+        for fault in FAULTS if count <= 200 else FAULTS[:1]:
+            for how in HOWS if fault == "calm" else HOWS[:2]:
+                began = time.monotonic()
+                found = [play(count, zones, seed, how, fault) for seed in ((1, 2) if count < 200 else (1,))]
+                mean = {name: sum(one[name] for one in found) / len(found) for name in NAMES}
+                mean["spill"] = max(one["spill"] for one in found)
+                rows.append((count, zones, fault, how, mean))
+                print(f"{count:8} {zones:5} {fault:9} {how:9} " + " ".join(f"{mean[n]:8.2f}" for n in NAMES)
+                      + f"   {time.monotonic() - began:.0f} s", flush=True)  # fmt: skip
+    if chosen.out is not None:
+        chart(rows, chosen.out / "zones.png")
+
+
+def chart(rows: list[tuple[int, int, str, str, dict[str, float]]], path: Path) -> None:
+    from matplotlib.figure import Figure
+
+    figure = Figure(figsize=(9, 3.4), layout="constrained")
+    calm = [row for row in rows if row[2] == "calm"]
+    labels = list(dict.fromkeys(f"{count} x {zones}" for count, zones, *_ in calm))
+    for axes, name, title in zip(figure.subplots(1, 3), ("spill", "cold", "nowhere"),
+                                 ("worst second into a zone, over its limit",
+                                  "first seconds of cold hubs, over usual", "fills with nowhere to go"),
+                                 strict=True):  # fmt: skip
+        for shift, how in enumerate(HOWS):
+            heights = [row[4][name] for row in calm if row[3] == how]
+            axes.bar([n + 0.2 * (shift - 1.5) for n in range(len(labels))], heights, 0.2, label=how)
+        axes.set_xticks(range(len(labels)), labels, fontsize=7)
+        axes.set_title(title, fontsize=8)
+        if name == "spill":
+            axes.axhline(1.0, color="#b03a2e", lw=0.8)
+    figure.axes[0].legend(fontsize=7)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    figure.savefig(path, dpi=130)
+
+
+if __name__ == "__main__":
+    main()
--- a/damsonstream/peers/council.py
+++ b/damsonstream/peers/council.py
@@ -79,7 +79,7 @@
         self.names: dict[str, int] = {name: me}  # places by name; each name has one
         self.later: list[tuple[int, int]] = []  # when, source: returns that are due; emptied by time
         self.opened: set[int] = set()  # sources told dead; emptied as they are no longer
-        self.agreed: set[int] = set()  # the same, until one is seen well, runs anew or leaves the list
+        self.agreed: dict[int, int] = {}  # since when; until one is seen well, runs anew or leaves the list
         # sources opened here on others' words alone: own sight outweighs them, each is tried by oneself once
         self.on_words: set[int] = set()  # emptied by own ends there, and as the list drops them
         self.private: list[tuple[int, wire.Ask | wire.Grant]] = []  # to whom; emptied each turn
@@ -111,7 +111,7 @@
         """What was seen and told of it, by anyone."""
         self.evidence.clear(source)
         self.opened.discard(source)
-        self.agreed.discard(source)
+        self.agreed.pop(source, None)
 
     def whose(self, home: bool) -> int:
         """Whom news of a source concerns: gateways of this location, or all."""
@@ -180,7 +180,7 @@
             if self.sources[at_home] != sources:
                 self.sources[at_home] = sources
                 self.on_words.intersection_update((*home, *far))
-                self.agreed.intersection_update((*home, *far))
+                self.agreed = {s: at for s, at in self.agreed.items() if s in home or s in far}
                 self.watch.pop(at_home, None)
 
     def resize(self, now: int, told: int, at_home: int) -> None:
@@ -284,15 +284,17 @@
     def zone_saw(
         self, now: int, zone: str, failing: bool, own: bool, answered: bool, hubs: Sequence[str] = ()
     ) -> None:
-        """What this gateway's hubs of a zone do: most of them are Open here, `own`: it has seen one fail
-        itself; `answered`: one gave it something since the last word. `hubs`: their names."""
+        """What this gateway's hubs of a zone do: most of them are Open here (`failing`); since the last word
+        one failed here (`own`), or gave something (`answered`). `hubs`: their names."""
         if self.zones is None:
             return
         source = digest(zone)
-        if answered or (failing and own):
+        if answered or (failing and own):  # what fails in part is its hubs' breakers' matter
             self.evidence.saw(now, source, wire.EVERYWHERE, not answered)
+        back = self.zones.beliefs[zone].back_at * S
         well, agree = self.evidence.tally(now, source)
-        dead = sum(map(self.dead, hubs)) > MOST * len(hubs)
+        since = [self.agreed.get(source_id(hub), -1) > back for hub in hubs]
+        dead = sum(since) > MOST * len(hubs)
         self.zones.sees(zone, failing, agree, well, now / S, answered, own, dead)
         if answered or own:
             self.zones.tried(zone, answered, now / S)
@@ -452,7 +454,7 @@
         for source in [s for s in self.evidence.bad_since if s not in self.zone_names]:
             if self.evidence.verdict(now, source) == "dead" and source not in self.opened:
                 self.opened.add(source)
-                self.agreed.add(source)
+                self.agreed[source] = now
                 if not self.evidence.bad_here(now, source):
                     self.on_words.add(source)
                 told.append(PeersTold(source, "dead"))
--- a/damsonstream/tiers/service.py
+++ b/damsonstream/tiers/service.py
@@ -39,6 +39,9 @@
 class Common(Protocol):
     """What is believed of zones, and this gateway's part of what all may do."""
 
+    @property
+    def zones(self) -> Verdicts | None: ...
+
     def follow(self, now: int, zones: dict[str, float]) -> None:
         """The zones of the file, with the seconds of each one's return."""
 
@@ -47,8 +50,8 @@
     def zone_saw(
         self, now: int, zone: str, failing: bool, own: bool, answered: bool, hubs: list[str]
     ) -> None:
-        """Most of its hubs are Open here, of which this gateway has seen one fail itself (`own`), or one of
-        them gave it something since the last word (`answered`)."""
+        """Most of its hubs are Open here (`failing`); since the last word one failed here (`own`), or gave
+        something (`answered`)."""
 
     def zone_state(self, now: int, zone: str) -> tuple[str, int, int]:
         """State, twentieths of a return, flaps."""
@@ -92,11 +95,10 @@
 
 @dataclass(slots=True)
 class Sight:
-    """What this gateway saw itself of a zone's hubs."""
+    """What this gateway saw itself of a zone's hubs since that was passed on last."""
 
-    bad_at: int = -1
-    good_at: int = -1
-    answered: bool = False  # since its ends were passed on last
+    failed: bool = False
+    answered: bool = False
     tries: Budget | None = None
 
 
@@ -216,7 +218,7 @@
         if other.role == VAULT:
             self.shield.ended(now / S, not bad)
         elif (sight := self.sights.get(other.zone)) is not None:
-            sight.good_at, sight.bad_at = (sight.good_at, now) if bad else (now, sight.bad_at)
+            sight.failed |= bad
             sight.answered |= not bad
             self.runs[source] = self.runs[source] + 1 if bad else 0
             if other.zone not in self.homes:
@@ -241,5 +243,5 @@
 
     def tick(self, now: int) -> None:
         for zone, sight in self.sights.items():
-            own, answered, sight.answered = sight.bad_at > sight.good_at, sight.answered, False
-            self.common.zone_saw(now, zone, self.failing(zone), own, answered, self.hubs.get(zone, []))
+            failed, answered, sight.failed, sight.answered = sight.failed, sight.answered, False, False
+            self.common.zone_saw(now, zone, self.failing(zone), failed, answered, self.hubs.get(zone, []))
--- a/damsonstream/tiers/verdicts.py
+++ b/damsonstream/tiers/verdicts.py
@@ -52,6 +52,7 @@
 STEPS = 20  # of a return: a twentieth of the objects more each time
 CARE = {LOST: 2, RETURNING: 1, WELL: 0}  # which wins where epoch and step are the same
 AGAIN = 5.0  # seconds after which what still matters is told again: to those that were cut off, or start
+SIGHT = 3.0  # seconds for which a bad end counts, as in peers/evidence.py
 ANSWERS = 2.0  # seconds for which an answer outweighs others' words: two of a gateway at full size
 AHEAD = 16  # epochs that a word may be ahead: more is nonsense, and would win for ever
 BY_CARE = sorted(CARE, key=CARE.__getitem__)  # as the wire has them
@@ -95,7 +96,8 @@
     well_since: float  # when it was last seen well again, for flaps to be forgotten
     failing_since: float = -1.0  # own hubs of it fail, -1: they don't
     agree: int = 0  # other gateways that see it fail
-    own: bool = True  # whether this one has seen it fail itself
+    bad_at: float = -1e9  # when this one saw it fail itself, last
+    back_at: float = -1e9  # since when its last return is under way, or over, as held here
     dead: bool = False  # whether the fleet's evidence on its hubs says so of most
     well: int = 0  # others that are answered
     good: int = 0  # trials in a row, anyone's
@@ -139,6 +141,8 @@
             belief.good = 0
         if verdict.state == WELL and belief.verdict.state != WELL:
             belief.well_since = now
+        if verdict.state != LOST and (belief.verdict.state == LOST or verdict.epoch > belief.verdict.epoch):
+            belief.back_at = now
         belief.verdict, belief.since = verdict, now
         self.changes += 1
 
@@ -164,11 +168,13 @@
         self, zone: str, failing: bool, agree: int, well: int, now: float, answered: bool = False,
         own: bool = True, dead: bool = False,
     ) -> None:  # fmt: skip
-        """`answered`: its hubs gave this gateway something just now; `own`: it has seen them fail itself,
-        else it only holds them Open on others' words; `dead`: enough gateways saw nothing but bad ends of
-        most of its hubs, one by one."""
+        """`answered`: its hubs gave this gateway something just now; `own`: one of them failed here just now;
+        `dead`: enough gateways have seen nothing but bad ends of most of its hubs, one by one, since its last
+        return began. What was seen before that says nothing against it: breakers stay Open for seconds."""
         belief = self.beliefs[zone]
-        belief.agree, belief.well, belief.own, belief.dead = agree, well, own, dead
+        belief.agree, belief.well, belief.dead = agree, well, dead
+        if own and not answered:
+            belief.bad_at = now
         if answered:
             belief.answered_at = now
         if not failing:
@@ -183,13 +189,14 @@
         if belief.verdict.state == LOST:
             belief.good = belief.good + 1 if good else 0
 
-    def enough(self, belief: Belief) -> bool:
-        """Whether as many as it takes have seen it fail, this gateway included where it has."""
-        return (belief.dead or belief.agree + belief.own >= self.agree) and not belief.well
+    def enough(self, belief: Belief, now: float) -> bool:
+        """Whether as many as it takes have seen it fail lately, this gateway included where it has."""
+        own = belief.bad_at > max(belief.back_at, now - SIGHT)
+        return (belief.dead or belief.agree + own >= self.agree) and not belief.well
 
     def fails_for_all(self, belief: Belief, now: float) -> bool:
         lasts = belief.failing_since >= 0 and now - belief.failing_since >= DOUBT
-        return lasts and self.enough(belief)
+        return lasts and self.enough(belief, now)
 
     def proved(self, belief: Belief) -> bool:
         """Whether a lost zone's hubs are known to give again: to this gateway often, or to enough at once."""
@@ -233,11 +240,11 @@
             return "Cut off"
         if belief.verdict.state != WELL:
             return belief.verdict.state
-        if belief.failing_since < 0:
-            return WELL
+        if belief.failing_since < 0 or (belief.bad_at <= belief.back_at and not belief.dead):
+            return WELL  # or held Open here on words that are older than its return: others know better
         if now - belief.failing_since < DOUBT:
             return "Doubted"
-        return "Doubted" if self.enough(belief) else "Lost here"
+        return "Doubted" if self.enough(belief, now) else "Lost here"
 
     def carries(self, zone: str, now: float, cut_off: bool = False) -> float:
         """Share of its own objects that a zone's hubs are asked for."""
--- a/tests/test_zones_model.py
+++ b/tests/test_zones_model.py
@@ -57,7 +57,8 @@
 
         told = [
             (b.verdict, ago(b.since), ago(b.well_since), ago(b.failing_since) if b.failing_since >= 0 else -1,
-             min(b.good, 1), ago(b.answered_at), ago(b.failing_at), b.disbelieved, b.told == b.verdict,
+             min(b.good, 1), ago(b.bad_at), ago(b.back_at), ago(b.answered_at),
+             ago(b.failing_at), b.disbelieved, b.told == b.verdict,
              ago(b.told_at))
             for one in self.ones for b in one.beliefs.values()
         ]  # fmt: skip
@@ -228,7 +229,7 @@
         def never(self: Verdicts, belief: Any) -> bool:
             return False
 
-        def one_is_enough(self: Verdicts, belief: Any) -> bool:
+        def one_is_enough(self: Verdicts, belief: Any, now: float) -> bool:
             return True
 
         def last_wins(self: Verdicts, verdict: Verdict, now: float) -> bool:
