--- a/damsonstream/incident/phases.py
+++ b/damsonstream/incident/phases.py
@@ -5,7 +5,7 @@
 with what it cost. Times are tenths of a millisecond.
 
 A phase is one of: purge, drain, slow-source, failing, open, half-open, overload, restart, gap, peers (what
-gateways believed of one another), recovery.
+gateways believed of one another), zone (a zone that any gateway did not hold well), recovery.
 """
 
 from __future__ import annotations
@@ -177,6 +177,9 @@
         self.origin = ""
         self.beliefs: list[tuple[int, str, int, model.Peers]] = []  # as they changed: when, gateway, boot
         self.words: list[tuple[int, str, model.Told | model.Turn]] = []  # of peers: when, gateway
+        # of zones, as they changed: when, gateway, boot; one a second while one is not well
+        self.zones: list[tuple[int, str, int, model.Zones]] = []
+        self.zones_before: dict[tuple[str, int], model.Zones] = {}
 
     def at(self, gateway: str, boot: int, at: int) -> int:
         return self.clocks.fleet((gateway, boot), at)
@@ -192,6 +195,12 @@
             self.turns.append(Turn(at, gateway, boot, record))
         elif isinstance(record, model.Peers):
             self.beliefs.append((at, gateway, boot, record))
+        elif isinstance(record, model.Zones):
+            before = self.zones_before.get((gateway, boot))
+            well = all(state == "Well" for _, state, _, _ in record.zones)
+            if before is None or not well or before.zones != record.zones:
+                self.zones.append((at, gateway, boot, record))
+            self.zones_before[gateway, boot] = record
         elif isinstance(record, model.Told | model.Turn):
             self.words.append((at, gateway, record))
         elif isinstance(record, model.Purge) and record.number:  # 0: told again after a start
@@ -305,6 +314,7 @@
             *self.restarts(boots),
             *self.gaps(boots),
             *self.believed(boots),
+            *self.lost_zones(boots),
         ]
         found += self.recoveries(found)
         for phase in found:
@@ -494,6 +504,65 @@
             phases.append(phase)
         return phases
 
+    def lost_zones(self, boots: list[Boot]) -> list[Phase]:
+        """Spans in which gateways held a zone for anything but well: from when to when each held what, how
+        long they disagreed, and what spilled out of it."""
+        ends = {boot.gateway_boot: self.at(boot.gateway, boot.number, boot.last) for boot in boots}
+        spans: dict[tuple[str, str], list[Span]] = defaultdict(list)
+        held: dict[str, list[tuple[int, str, str]]] = defaultdict(list)  # by zone: when, gateway, state
+        latest: dict[tuple[str, int, str], tuple[str, Span | None]] = {}
+        spilt: dict[tuple[str, int], list[tuple[int, model.Zones]]] = defaultdict(list)
+        for at, gateway, boot, record in sorted(self.zones, key=lambda one: one[:3]):
+            spilt[gateway, boot].append((at, record))
+            for zone, state, _, _ in record.zones:
+                before, span = latest.get((gateway, boot, zone), ("Well", None))
+                if span is not None:
+                    span.last = span.after = at
+                if state == before:
+                    continue
+                held[zone].append((at, gateway, state))
+                if state == "Well":
+                    span = None
+                elif span is None:
+                    span = Span(at, ends.get((gateway, boot), at), 0, 1)
+                    spans[gateway, zone].append(span)
+                latest[gateway, boot, zone] = state, span
+        phases = []
+        for zone, group in self.spans(spans):
+            start, end = min(span.start for _, span in group), max(span.end for _, span in group)
+            evidence = []
+            for state in ("Doubted", "Lost", "Lost here", "Cut off", "Returning", "Well"):
+                when = [(at, name) for at, name, what in held[zone] if what == state and start <= at <= end]
+                if when:
+                    names = sorted({name for _, name in when})
+                    spread = (max(when)[0] - min(when)[0]) / S
+                    told = ", ".join(names[:6]) + (", ..." if len(names) > 6 else "")
+                    first = (min(when)[0] - start) / S
+                    evidence.append(
+                        f"{state}: {told}, the first {first:.1f} s on, the last {spread:.1f} s later"
+                    )
+            phase = self.of(group, "zone", zone, evidence + self.spill(zone, start, end, spilt))
+            phase.subject = f"zone {zone}"
+            phases.append(phase)
+        return phases
+
+    def spill(
+        self, zone: str, start: int, end: int, told: dict[tuple[str, int], list[tuple[int, model.Zones]]]
+    ) -> list[str]:
+        """What left it meanwhile, by where it went."""
+        counted: Counter[str] = Counter()
+        limits: dict[str, float] = {}
+        for records in told.values():
+            span = [record for at, record in records if start <= at <= end]
+            for sign, record in ((1, span[-1]), (-1, span[0])) if span else ():
+                for home, other, count, limit in record.spilt:
+                    if home == zone:
+                        counted[other] += sign * count
+                        limits[other] = limit
+        seconds = max(0.1, (end - start) / S)
+        return [f"spilled into {other}: {count} fills, {count / seconds:.1f} a second of {limits[other]:g}"
+                for other, count in sorted(counted.items()) if count > 0]  # fmt: skip
+
     def overloaded(self) -> list[Phase]:
         names = ("", *self.services)
         width, phases = self.rates.width, list[Phase]()
--- a/damsonstream/report/charts.py
+++ b/damsonstream/report/charts.py
@@ -52,6 +52,7 @@
     "restart": "#3d4752",
     "gap": "#8d99ae",
     "peers": "#2a6f97",
+    "zone": "#1f7a6d",
     "recovery": "#4f9d69",
 }
 OUTCOMES = (
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -11,6 +11,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from damsonstream.console import text
+from damsonstream.console.history import History
+from damsonstream.incident.clocks import Clocks
+from damsonstream.incident.phases import Watch
+from damsonstream.records import model
+from damsonstream.records.store import Item
 from damsonstream.routing import interface as i
 from damsonstream.settings import kdl
 from damsonstream.tiers import load, loss, plan
@@ -263,6 +269,47 @@
         self.check("zone-in-router", [line for line in desk.lines if "Open" in line or "GET 6" in line][:40])
 
 
+class Told(unittest.TestCase):
+    """What records tell of zones."""
+
+    def records(self, gateway: str, late: int) -> list[model.AnyRecord]:
+        def zones(at: int, state: str, progress: int, spilt: int) -> model.Zones:
+            return model.Zones(at * S, 3, [("north", state, progress, 0), ("south", "Well", 20, 0)],
+                               [("north", "south", spilt, 12.0)], 0)  # fmt: skip
+
+        return [
+            model.Began(0, 1, gateway, "0", 0, "shop", [], "hub", "vault"), zones(1, "Well", 20, 0),
+            zones(7, "Well", 20, 0), zones(8 + late, "Lost", 0, 0), zones(14, "Returning", 6, 20),
+            zones(20, "Well", 20, 30),
+        ]  # fmt: skip
+
+    def test_a_phase_tells_who_believed_what_and_what_spilled(self) -> None:
+        watch = Watch(Clocks())
+        for name, late in (("n1", 0), ("n2", 2)):
+            for record in self.records(name, late):
+                watch.record(name, 1, record)
+        told = [(p.kind, p.subject, p.start // S, p.end // S, p.evidence[:-1]) for p in watch.phases([])]
+        self.assertEqual(told, [("zone", "zone north", 8, 20, [
+            "Lost: n1, n2, the first 0.0 s on, the last 2.0 s later",
+            "Returning: n1, n2, the first 6.0 s on, the last 0.0 s later",
+            "Well: n1, n2, the first 12.0 s on, the last 0.0 s later",
+            "spilled into south: 60 fills, 5.0 a second of 12",
+        ])])  # fmt: skip
+
+    def test_console_shows_disagreement(self) -> None:
+        history = History()
+        for name, late in (("n1", 0), ("n2", 2)):
+            for record in self.records(name, late):
+                history.feed(name, Item(1, 0, record))
+        rows = {at: text.zone(history.view(at * S).zones[0])[:3] for at in (9, 11, 15)}
+        self.assertEqual(rows, {
+            9: ("north", "Lost; Well: n2", "0"), 11: ("north", "Lost", "0"),
+            15: ("north", "Returning 6/20", "0"),
+        })  # fmt: skip
+        north, south = history.view(20 * S).zones
+        self.assertEqual((text.zone(north)[3:], text.zone(south)[3:]), (("0", "-", "3.3"), ("3.3", "12", "0")))
+
+
 class Ways(unittest.TestCase):
     def shape(self, name: str) -> Shape:
         return load.load(str(EXAMPLES / f"{name}.kdl"))
