--- a/damsonstream/tiers/service.py
+++ b/damsonstream/tiers/service.py
@@ -115,6 +115,10 @@
         self.runs: Counter[str] = Counter()  # bad ends in a row, by hub; some of the file's
         self.sights: dict[str, Sight] = {}  # as long as the file's zones
         self.hubs: dict[str, list[str]] = {}  # by zone
+        # what is asked for each GET, made with each shape: sources by cache, zones of hubs, the vault's name
+        self.fills: dict[str, frozenset[str]] = {}
+        self.zone_of: dict[str, str] = {}
+        self.vaults: frozenset[str] = frozenset()
         self.homes: set[str] = set()  # zones of this gateway's own caches; some of the file's
 
     # revisions
@@ -146,23 +150,27 @@
         self.hubs = {name: [] for name in self.shape.zones}
         for node in self.shape.role(HUB):
             self.hubs.setdefault(node.zone, []).append(node.name)
-        self.shut.intersection_update(self.shape.nodes)
+        shape = self.shape
+        self.zone_of = {node.name: node.zone for node in shape.role(HUB)}
+        self.vaults = frozenset(node.name for node in shape.vaults)
+        known = {*self.zone_of, *self.vaults}
+        self.fills = {node.name: frozenset(known.intersection(node.sources)) for node in shape.role(CACHE)}
+        self.shut.intersection_update(shape.nodes)
         self.runs = Counter({name: run for name, run in self.runs.items() if name in self.shape.nodes})
 
     # what the router asks and tells
 
     def has(self, cache: str) -> bool:
         """Whether the file says who fills it."""
-        return cache in self.shape.nodes
+        return cache in self.fills
 
     def among(self, now: int, cache: str, place: float, sources: list[str]) -> list[str]:
-        shape, node = self.shape, self.shape.nodes.get(cache)
-        if node is None or node.zone not in self.near.zones:
+        fills = self.fills.get(cache)
+        if fills is None or (home := self.shape.nodes[cache].zone) not in self.near.zones:
             return []
-        allowed = [name for name in sources if name in node.sources and name in shape.nodes]
-        zones = {name: shape.nodes[name].zone for name in allowed if shape.nodes[name].role == HUB}
-        vault = [name for name in allowed if shape.nodes[name].role == VAULT]
-        home, part, at = node.zone, self.common.part(now, False), now / S
+        allowed, zones = [name for name in sources if name in fills], self.zone_of
+        vault = [name for name in allowed if name in self.vaults]
+        part, at = self.common.part(now, False), now / S
         self.homes.add(home)
         if not self.bounded:
             ways = [home, *self.near.order(home)]
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -4,6 +4,7 @@
 
 import subprocess
 import sys
+import tempfile
 import unittest
 from dataclasses import replace
 from pathlib import Path
@@ -379,6 +380,20 @@
             {"bad-field": "3", "bad-loop": "5", "bad-unknown-source": "6", "bad-zone": "3"},
         )
 
+    def test_a_gateway_does_not_start_with_a_hierarchy_that_is_wrong(self) -> None:
+        config = Path("deploy/config.example.json")
+        with tempfile.TemporaryDirectory() as folder:
+            operator = Path(folder, "operator.kdl")
+            for name, code, said in (("ok-one-hub", 0, ""), ("bad-loop", 2, "loop: fills run in a circle"),
+                                     ("bad-field", 2, ":3: zone.takes"), ("none", 2, "none.kdl")):  # fmt: skip
+                operator.write_text(f'tiers "{(EXAMPLES / name).absolute()}.kdl"\n')
+                ended = subprocess.run(
+                    [sys.executable, "-m", "damsonstream", "check-config", "--config", str(config),
+                     "--operator", str(operator)], capture_output=True, text=True, timeout=60,
+                )  # fmt: skip
+                self.assertEqual(ended.returncode, code, ended.stderr)
+                self.assertIn(said, ended.stderr)
+
     def test_plan_and_loss(self) -> None:
         grown = str(EXAMPLES / "ok-three-zones-grown.kdl")
         code, said = self.run_it("plan", str(EXAMPLES / "ok-three-zones.kdl"), grown)
