--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -16,30 +16,16 @@
 from damsonstream.peers import subsets
 from damsonstream.peers.pieces import PIECES
 from damsonstream.virtual.fleet import Fleet
-from damsonstream.virtual.links import Links, S, apart
+from damsonstream.virtual.links import S, faulty
 
 SEEDS = (1, 2)
 FAULTS = ("calm", "lost 30%", "lost 90%", "late 2 s", "split")
 
 
-def links(fault: str, seed: int) -> Links:
-    chance = random.Random(seed)
-    match fault:
-        case "lost 30%":
-            return Links(chance, lost=0.3, repeated=0.1)
-        case "lost 90%":
-            return Links(chance, lost=0.9)
-        case "late 2 s":
-            return Links(chance, most=2 * S)
-        case "split":
-            return Links(chance, cuts=[apart(5 * S, 15 * S, lambda place: place % 3 == 0)])
-    return Links(chance)
-
-
 def fleet(count: int, seed: int, fault: str, pieces: frozenset[str]) -> Fleet:
     chance = random.Random(seed)
     demands = [2 * chance.paretovariate(1.8) for _ in range(count)]
-    return Fleet(count, seed, demands=demands, links=links(fault, seed), pieces=pieces)
+    return Fleet(count, seed, demands=demands, links=faulty(fault, seed), pieces=pieces)
 
 
 def play(count: int, seed: int, fault: str, pieces: frozenset[str]) -> dict[str, float]:
--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -8,14 +8,13 @@
 from __future__ import annotations
 
 import argparse
-import random
 import sys
 import time
 from pathlib import Path
 
 sys.path.append(".")
 from damsonstream.tiers.zones import LOST, WELL
-from damsonstream.virtual.links import Links, S, apart
+from damsonstream.virtual.links import S, faulty
 from damsonstream.virtual.zones import HOWS, ZoneFleet
 
 FAULTS = ("calm", "lost 30%", "late 5 s", "split")
@@ -26,20 +25,8 @@
 NAMES = ("agree", "spill", "near", "nowhere", "cold", "whole", "changes")
 
 
-def links(fault: str, seed: int) -> Links:
-    chance = random.Random(seed)
-    match fault:
-        case "lost 30%":
-            return Links(chance, lost=0.3, repeated=0.1)
-        case "late 5 s":
-            return Links(chance, most=5 * S)
-        case "split":
-            return Links(chance, cuts=[apart(5 * S, 15 * S, lambda place: place % 3 == 0)])
-    return Links(chance)
-
-
 def play(count: int, zones: int, seed: int, how: str, fault: str) -> dict[str, float]:
-    fleet = ZoneFleet(count, zones, seed, how, links(fault, seed))
+    fleet = ZoneFleet(count, zones, seed, how, faulty(fault, seed))
     fleet.until(8 * S)
     fleet.lose("z0")
     agree = whole = 99.0
--- a/damsonstream/program/commands/demo.py
+++ b/damsonstream/program/commands/demo.py
@@ -17,6 +17,7 @@
 from damsonstream.demo.verdict import recorded
 from damsonstream.incident import gather as reading
 from damsonstream.program import toollogs
+from damsonstream.program.commands.playing import played
 from damsonstream.program.commands.report import put, rendered
 from damsonstream.settings import kdl
 
@@ -75,14 +76,8 @@
         return 2
     click.echo(f"{told.name}: {told.about}, {told.lasts:g} s")
     click.echo(f"{told.gateways} gateways, {told.caches} caches, {told.hubs} hubs, a vault; all in {folder}")
-    try:
-        truth = run(told, folder, records, seed, plain=once or not sys.stdout.isatty())
-    except KeyboardInterrupt:
-        click.echo("stopped", err=True)
-        return 130
-    except (RuntimeError, OSError) as fault:
-        click.echo(f"The fleet could not be played: {fault}", err=True)
-        return 2
+    plain = once or not sys.stdout.isatty()
+    truth = played(lambda: run(told, folder, records, seed, plain))
     return tell(told, records, truth, report or folder / "report.html", json_file)
 
 
--- a/damsonstream/program/commands/together.py
+++ b/damsonstream/program/commands/together.py
@@ -13,6 +13,7 @@
 
 from damsonstream.peers.pieces import PIECES
 from damsonstream.program import toollogs
+from damsonstream.program.commands.playing import played
 from damsonstream.settings import kdl
 from damsonstream.standins.faults import KINDS as NODE_KINDS
 from damsonstream.together import checks, links, rig, script
@@ -43,14 +44,8 @@
     folder = folder or Path(tempfile.mkdtemp(prefix="damsonstream-together-"))
     off, began = frozenset(without), time.monotonic()
     click.echo(f"{told.name}: {told.about}; {len(told.gateways)} gateways, {told.lasts:g} s, in {folder}")
-    try:
-        seen = anyio.run(rig.play, told, off, folder, seed, backend_options={"use_uvloop": True})
-    except KeyboardInterrupt:
-        click.echo("stopped", err=True)
-        return 130
-    except (RuntimeError, OSError) as fault:
-        click.echo(f"The fleet could not be played: {fault}", err=True)
-        return 2
+    uvloop = {"use_uvloop": True}
+    seen = played(lambda: anyio.run(rig.play, told, off, folder, seed, backend_options=uvloop))
     found = rig.result(told, off, seen, began)
     for one in found.checks:
         click.echo(f"  {'kept  ' if one.kept else 'BROKEN'}  {one.name}: {one.seen:g} ({one.bound})")
--- a/damsonstream/program/tiering.py
+++ b/damsonstream/program/tiering.py
@@ -19,6 +19,7 @@
 from damsonstream.settings import kdl
 from damsonstream.tiers import load
 from damsonstream.tiers.service import Alone, Service
+from damsonstream.tiers.shape import Shape
 
 if TYPE_CHECKING:  # loaded where they are on
     from damsonstream.program.gathering import Gathering
@@ -42,9 +43,9 @@
         self.noted_at = 0
         self.listed_before: set[str] = set()  # nodes of the list, to see who has gone without a word
 
-    def read(self) -> str:
-        """Reads the file and puts it in service; why not, where it can't be used: then all stays."""
-        refused = self.service.apply(self.clock.now(), load.load(self.path))
+    def apply(self, shape: Shape) -> str:
+        """Puts it in service; why not, where it can't be used: then all stays."""
+        refused = self.service.apply(self.clock.now(), shape)
         return str(refused) if refused is not None else ""
 
     def reload(self) -> tuple[str, str]:
@@ -54,7 +55,7 @@
             shape = load.load(self.path)
             if shape.revision == revision:  # the signal was for something else
                 return "used", f"revision {revision} as before"
-            wrong = self.read()
+            wrong = self.apply(shape)
         except kdl.Fault as fault:
             wrong = str(fault)
         if wrong:
@@ -110,7 +111,7 @@
     recorder: Recorder | None = None,
 ) -> Tiering:  # fmt: skip
     made = Tiering(path, config, gathering, clock, pieces, recorder)
-    if wrong := made.read():
+    if wrong := made.apply(load.load(path)):
         raise kdl.Fault(path, 0, "", wrong)
     log.info("tiers", extra={"outcome": "on", "revision": made.service.revisions.latest})
     return made
--- a/damsonstream/tiers/service.py
+++ b/damsonstream/tiers/service.py
@@ -145,20 +145,22 @@
 
     def told(self, name: str, state: str) -> None:
         """The bulletin's word of a node: active, leaving or left."""
+        before = self.shape
         self.revisions.told(name, state)
-        self.settle()
+        if self.shape is not before:
+            self.settle()
 
     def settle(self) -> None:
-        self.hubs = {name: [] for name in self.shape.zones}
-        for node in self.shape.role(HUB):
-            self.hubs.setdefault(node.zone, []).append(node.name)
         shape = self.shape
         self.zone_of = {node.name: node.zone for node in shape.role(HUB)}
+        self.hubs = {zone: [] for zone in shape.zones}
+        for name, zone in self.zone_of.items():
+            self.hubs.setdefault(zone, []).append(name)
         self.vaults = frozenset(node.name for node in shape.vaults)
         known = {*self.zone_of, *self.vaults}
         self.fills = {node.name: frozenset(known.intersection(node.sources)) for node in shape.role(CACHE)}
         self.shut.intersection_update(shape.nodes)
-        self.runs = Counter({name: run for name, run in self.runs.items() if name in self.shape.nodes})
+        self.runs = Counter({name: run for name, run in self.runs.items() if name in shape.nodes})
 
     # what the router asks and tells
 
--- a/damsonstream/virtual/fleet.py
+++ b/damsonstream/virtual/fleet.py
@@ -179,6 +179,13 @@
         switch.open, switch.good, switch.trying = True, 0, False
         switch.until = self.now + int(COOL * (1 + JITTER * self.chance.random()))
 
+    def may_try(self, gateway: Gateway, number: int, local: int) -> bool:
+        """Whether a trial of an open source may go now, and is this gateway's to make."""
+        switch = gateway.switches[number]
+        ready = self.now >= switch.until and not switch.trying
+        since = switch.until + gateway.offset
+        return ready and gateway.council.turn(local, self.sources[number], False, since)
+
     def get(self, gateway: Gateway, council: Council) -> None:
         if not self.runs(gateway, council):
             return
@@ -193,8 +200,7 @@
         switch, source = gateway.switches[number], self.sources[number]
         trial = switch.open
         if trial:
-            ready = self.now >= switch.until and not switch.trying
-            if not ready or not council.turn(local, source, False, switch.until + gateway.offset):
+            if not self.may_try(gateway, number, local):
                 return  # it goes to the next source in order
             switch.trying = True
             council.trying(local, source, False)
--- a/damsonstream/virtual/links.py
+++ b/damsonstream/virtual/links.py
@@ -35,6 +35,20 @@
     return lambda now, a, b: start <= now < end and group(a) != group(b)
 
 
+def faulty(fault: str, seed: int) -> Links:
+    """Links by the names that the benchmarks use: `lost 30%`, `late 5 s`, `split`; any other has no fault."""
+    chance = random.Random(seed)
+    match fault.split():
+        case ["lost", share]:
+            lost = int(share.rstrip("%")) / 100
+            return Links(chance, lost=lost, repeated=0.1 if lost < 0.5 else 0.0)
+        case ["late", seconds, "s"]:
+            return Links(chance, most=int(seconds) * S)
+        case ["split"]:
+            return Links(chance, cuts=[apart(5 * S, 15 * S, lambda place: place % 3 == 0)])
+    return Links(chance)
+
+
 def one_way(start: int, end: int, deaf: set[int]) -> Cut:
     """From start to end, these hear nobody, and are heard."""
     return lambda now, a, b: start <= now < end and b in deaf
--- a/damsonstream/virtual/zones.py
+++ b/damsonstream/virtual/zones.py
@@ -112,13 +112,8 @@
         """Hubs that the breakers let it use now, and the vault."""
         key = self.chance.getrandbits(30)
         for number in sorted(range(len(self.hubs)), key=lambda n: order.weight(n, key)):
-            switch = gateway.switches[number]
-            if switch.open:
-                ready = self.now >= switch.until and not switch.trying
-                since = switch.until + gateway.offset
-                if not ready or not gateway.council.turn(local, self.sources[number], False, since):
-                    continue
-            yield self.hubs[number]
+            if not gateway.switches[number].open or self.may_try(gateway, number, local):
+                yield self.hubs[number]
         yield "vault"
 
     def get(self, gateway: Gateway, council: Council) -> None:
