--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -197,6 +197,9 @@
     judged: bool = False
 
 FADE = 2 * S  # a learnt crowd on the link halves in it: from the most to nothing in ten seconds
+# An origin is pushed over within seconds, in which one of many gateways sees few of its fills: two must do.
+# One bad one in five holds the part that is let through where it is. STRAIN: from when on parents give copies
+BEHIND, CATCHES_UP, STRAIN = 1.5, 0.9, 1.2
 NEAR = 6 * MS  # a cache of the own location says no within it; what comes later was said behind it
 
 
@@ -243,6 +246,7 @@
         self.purges: dict[str | int, int] = {}  # object or group: when; emptied when copies have settled
         self.link, self.density = 1.0, 0.0  # link in, 1: just full; usual revenue for a unit of sending time
         self.link_at = 0  # when the link was told or learnt last
+        self.press, self.press_at = 1.0, 0  # how far the origin is behind, 1: not; when that was learnt last
         self.stock = max(2.0, 20 / self.told.location_gateways)  # each gateway's part of a small stock
         self.spare = self.stock / 2  # further forwards that may still go
         self.ample = 0.6 / max(2, self.told.location_gateways)  # room for what spills
@@ -358,16 +362,22 @@
         heappush(self.due, (now + self.overdue(get), get.id, out.leg))
 
     def strained(self) -> bool:
-        """The origin is Open or slow (half its first limit), or most parents fail at once, which may be its
-        fault: parents give what they hold, the rest waits. One that lacks it is known to be alive."""
+        """The origin is Open, behind or slow (half its first limit), or most parents fail at once, which may
+        be its fault: parents give what they hold, the rest waits. One that lacks it is known to be alive."""
         origin, doubt = self.origin, 2 * sum(n.breaker.run > 1 for n in self.parents) > len(self.parents)
-        slow = origin is not None and (origin.limit < 32 if self.told.notes == "all" else doubt)
-        return slow or (origin is not None and origin.breaker.state != "Closed")
+        if origin is None:
+            return False
+        slow = origin.limit < 32 or self.behind() > STRAIN if self.told.notes == "all" else doubt
+        return slow or origin.breaker.state != "Closed"
 
     def fits(self, get: Get) -> bool:
         """Whether its fill still fits on the link into the location, by chance while that is over-full."""
         return get.luck * self.crowd() < 1.2  # 1.2 or 2: level on the days tried
 
+    def behind(self) -> float:
+        """How far the origin is behind; fades as a full link does, and for the same reason."""
+        return 1.0 + (self.press - 1.0) * math.pow(2.0, (self.press_at - self.now) / FADE)
+
     def crowd(self) -> float:
         """How full the link in is; that fades, since GETs shed for it bring no fill that would ease it."""
         over = max(0.0, self.link - 1.0)
@@ -594,7 +604,8 @@
                 get.ran = None  # proved not to have run; an earlier one that may have stays
             if event.result == "lacking" and (out.copies or (source is cache and not get.lacked)):
                 get.lacked = 2 if out.copies else 1
-                shut = not self.fits(get) or (out.copies and not (self.origin and self.allows(self.origin)))
+                gives = self.origin and self.allows(self.origin) and get.luck * self.behind() < 1
+                shut = not self.fits(get) or (out.copies and not gives)
                 if shut or self.pick_source(get, cache) is cache:
                     self.give_up(get)
                 else:
@@ -641,6 +652,11 @@
             self.note(blamed, 1.0, blamed in out.trials)
         elif event.result == "recalled" and slow and out.cache.ok_at > out.sent:
             self.note(source, slow, False)
+        if judged is self.origin and (filled or blamed is judged):
+            # refused, or its first byte alone took the whole objective
+            bad = not filled or event.first_byte > service.told.objective
+            press = self.behind() * (BEHIND if bad else CATCHES_UP)
+            self.press, self.press_at = min(16.0, max(1.0, press)), self.now
         if (org := self.origin) and (org is blamed or org is judged):
             # a dead one is the breaker's matter; the limit answers one that works, but over a tenth late
             if filled and not late and (org.out + 1 >= 0.8 * org.limit or event.note == 3):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -88,8 +88,9 @@
     ) -> None:
         leg = self.legs[get] - 1 if leg < 0 else leg
         self.say(f"GET {get} leg {leg} {result}" + f" note {note}" * (note > 0))
-        cache, shared = self.sent[get, leg].cache, load.pop("shared", 0) > 0
-        self.tell(i.ForwardEnded(get, leg, cache, result, took, 0, note, result == "returned", shared, load))
+        cache, shared, first = self.sent[get, leg].cache, load.pop("shared", 0) > 0, int(load.pop("first", 0))
+        over = result == "returned"
+        self.tell(i.ForwardEnded(get, leg, cache, result, took, first, note, over, shared, load))
 
     def wait(self, time: int, step: int = 200) -> None:
         """Lets time pass, waking the router as its timers would."""
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -244,6 +244,25 @@
             lines.append(f"after {wait // S} s: {desk.router.origin.breaker.state}")
         self.check("usual-first-byte", lines)
 
+    def test_an_origin_that_falls_behind_is_spared_before_it_stops(self) -> None:
+        """A gateway of 200 sees two fills a second from it: first bytes over the whole objective thin at once
+        what needs the origin; what parents hold and tokened GETs go on, and all once it has caught up."""
+        desk, lines = Desk(notes="all", joins=False, gateways=200), list[str]()
+        for get in range(48):
+            slow, legs = 12 <= get < 28, list[str]()
+            desk.take(get, service=2 if get % 8 == 7 else 0)
+            while get in desk.router.gets:
+                forward = desk.sent[get, desk.legs[get] - 1]
+                legs.append("copies" if forward.copies else "origin")
+                if forward.copies:
+                    desk.end(get, "lacking", note=8)
+                else:
+                    desk.end(get, "returned", note=3, took=9000, first=8000 if slow else 1500)
+            shed = any(f"GET {get} shed" in line for line in desk.lines)
+            lines.append(f"{get} {'order' if get % 8 == 7 else 'tiles'}: {', '.join(legs)}{', shed' * shed}")
+            desk.wait(S // 2)
+        self.check("origin-behind", lines[10:])
+
     def test_held_gets_wait_for_who_lacks_room(self) -> None:
         """A long line costs nothing while its source is full, and moves on as soon as that has room."""
         desk = Desk("p1 o", notes="all")
