--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -264,7 +264,7 @@
         self.check("origin-behind", lines[10:])
 
     def test_what_an_origin_behind_refused_is_not_brought_to_it_again(self) -> None:
-        """It is the same origin by every parent; 200 gateways that go again at once multiply what pushes it."""
+        """It is the same origin by every parent; 200 gateways that go again at once push it further."""
         desk = Desk("c1 c2 c3 p1 p2 p3 o", notes="all", joins=False, gateways=200)
         desk.router.spare = 20.0  # further forwards are not what is short
         for get in range(10):
