What gateways of a play are told stands without I/O: figures for demo, together and what comes

Need: the emulator tells its gateways the same settings and hierarchy as the processes get. Change: demo/figures.py, together/figures.py, together/verdict.py out of play.py and rig.py; no other text.

--- a/damsonstream/demo/play.py
+++ b/damsonstream/demo/play.py
@@ -15,21 +15,17 @@
 
 import anyio
 
+from damsonstream.demo import figures
+from damsonstream.demo.figures import OFFERS, REMEMBERED
 from damsonstream.demo.fleet import Fleet
 from damsonstream.demo.scenario import Scenario, Step
 from damsonstream.standins import wire
 from damsonstream.standins.clients import Front, Try
 from damsonstream.standins.faults import Plan
 from damsonstream.standins.servers import LOOPBACK, Shape, World
-from damsonstream.standins.traffic import GROUPS, Catalogue, Offer, arrivals
+from damsonstream.standins.traffic import GROUPS, Catalogue, arrivals
 
-OFFERS = (
-    Offer("pages", 0.6, 900, 0.9, 12_000, 3000),
-    Offer("covers", 0.3, 500, 1.0, 4_000, 1500),
-    Offer("unlock", 0.1, 400, 0.7, 400, 3000, tokened=True),
-)
 VIEWERS = 500
-REMEMBERED = 3.0  # seconds for which the vault knows a token
 
 
 @dataclass(slots=True)
@@ -63,67 +59,14 @@
         return counted
 
 
-def lane(offer: Offer) -> dict[str, Any]:
-    told: dict[str, Any] = {
-        "name": offer.name, "onTime": 400_000, "aimStretch": 1.0, "hardLimit": offer.patience_ms * 1000,
-        "worth": 2.0 if offer.tokened else 1.0, "lateShare": 0.15, "idempotency": "idempotent",
-    }  # fmt: skip
-    if offer.tokened:
-        told |= {"idempotency": "deduplicated", "keyScope": "all", "dedupWindow": int(REMEMBERED * 1e6)}
-    return told
-
-
 def settings(world: World, scenario: Scenario) -> dict[str, Any]:
     """A gateway's configuration, with the news so far."""
     events = list(enumerate(world.bulletin.events, 1))
-    gateways = scenario.gateways
     return {
         "bulletin": f"{LOOPBACK}:{world.bulletin.port}",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
         "known": wire.known(events, list(world.locations), list(world.models)),
-        "settings": {
-            "balancers": gateways,
-            "kinds": list(world.models),
-            "zones": list(world.locations),
-            "myZone": world.locations[0],
-            "lanes": [lane(offer) for offer in OFFERS],
-            "familyInfo": {
-                "shieldKind": 1,
-                "masterKind": 2,
-                "maxAge": [0] * len(OFFERS),
-                "usableAfter": [0] * len(OFFERS),
-                "passOn": [offer.tokened for offer in OFFERS],
-                "says": "all",
-                "joins": True,
-                "clientKbPerS": 40_000.0,
-                "zoneBalancers": [gateways, 0],
-                "purgeSettles": 1_000_000,
-                "noticeTime": 300_000,
-                "parentStartsAt": 0.1,
-                "upperCold": 6_000_000,
-                "parentBreaksAt": 4.0,
-            },
-            "limits": {
-                "cancel": True,
-                "secondCopies": True,
-                "retryAfter": True,
-                "maxAttempts": 6,
-                "maxOpen": 1000,
-                "connectTimeout": 250_000,
-                "connIdle": 15_000_000,
-                "maxStreams": 32,
-                "maxRetryAfter": 500_000,
-            },
-            "rules": {
-                "startCapacity": 0.3,
-                "warmWithin": 4_000_000,
-                "fallMultiple": 4.0,
-                "tipAfter": 1_000_000,
-                "stopSendingWithin": 1_000_000,
-            },
-            "tick": 2000,
-            "weights": "rough",
-        },
+        "settings": figures.settings(scenario.gateways, world.models, world.locations),
     }
 
 
--- a/damsonstream/program/commands/together.py
+++ b/damsonstream/program/commands/together.py
@@ -16,7 +16,7 @@
 from damsonstream.program.commands.playing import played
 from damsonstream.settings import kdl
 from damsonstream.standins.faults import KINDS as NODE_KINDS
-from damsonstream.together import checks, links, rig, script
+from damsonstream.together import checks, links, rig, script, verdict
 from damsonstream.together.script import OWN, PROCESS_KINDS
 
 
@@ -46,7 +46,7 @@
     click.echo(f"{told.name}: {told.about}; {len(told.gateways)} gateways, {told.lasts:g} s, in {folder}")
     uvloop = {"use_uvloop": True}
     seen = played(lambda: anyio.run(rig.play, told, off, folder, seed, backend_options=uvloop))
-    found = rig.result(told, off, seen, began)
+    found = verdict.result(told, off, seen, time.monotonic() - began)
     for one in found.checks:
         click.echo(f"  {'kept  ' if one.kept else 'BROKEN'}  {one.name}: {one.seen:g} ({one.bound})")
     for text in checks.told(seen):
--- a/damsonstream/replay/play.py
+++ b/damsonstream/replay/play.py
@@ -15,7 +15,8 @@
 
 import anyio
 
-from damsonstream.demo.play import OFFERS, Play
+from damsonstream.demo.figures import OFFERS
+from damsonstream.demo.play import Play
 from damsonstream.demo.scenario import Scenario, Step, load
 from damsonstream.replay.account import Account
 from damsonstream.replay.limits import Rule
--- a/damsonstream/together/rig.py
+++ b/damsonstream/together/rig.py
@@ -1,25 +1,23 @@
 """One play of several processes: real gateways, a relay on every path between them and all others, stand-ins,
 and a script of what breaks.
 
-How it is called: `await play(script, without, folder, seed)` returns what was seen, and `result()` the
-verdict. Only processes started here are ever signalled, and all of them end with the play.
+How it is called: `await play(script, without, folder, seed)` returns what was seen, of which verdict.py
+makes the result. Only processes started here are ever signalled, and all of them end with the play.
 """
 
 from __future__ import annotations
 
 import random
 import socket
-import time
-from collections.abc import Iterable
 from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from typing import Any
 
 import anyio
-import msgspec
 
 from damsonstream.demo import play as demo
+from damsonstream.demo.figures import OFFERS, REMEMBERED
 from damsonstream.demo.fleet import Fleet, free_port
 from damsonstream.demo.scenario import Scenario
 from damsonstream.peers.council import digest as zone_digest
@@ -30,27 +28,23 @@
 from damsonstream.standins.faults import Plan
 from damsonstream.standins.servers import LOOPBACK, Kind, Node, Shape, World
 from damsonstream.standins.traffic import GROUPS, Catalogue, arrivals
-from damsonstream.together.checks import Filled, Forwarded, Seen, Tried, Verdict, always, judge
+from damsonstream.together import figures
+from damsonstream.together.checks import Filled, Forwarded, Seen, Tried
 from damsonstream.together.links import Links
 from damsonstream.together.relay import Datagrams, Stream
 from damsonstream.together.script import Script, Step
 
 VIEWERS = 500
-PRICE = 0.01  # as the settings tell it: part of all revenue for one full message a GET
-
-
-def quoted(names: Iterable[str]) -> str:
-    return " ".join(f'"{name}"' for name in names)
 
 
 class Rig:
     def __init__(self, script: Script, without: frozenset[str], folder: Path, seed: int) -> None:
         self.script, self.names = script, list(script.gateways)
         self.chance = random.Random(seed)
-        self.catalogue = Catalogue(demo.OFFERS, seed)
+        self.catalogue = Catalogue(OFFERS, seed)
         per_shop = [place.caches for place in script.zones] or [script.caches]
         shape = Shape(len(per_shop), max(per_shop), script.hubs, Kind("cache", script.memory, script.lanes))
-        self.world = World(shape, Plan(script.nodes), seed, self.catalogue.describe, demo.REMEMBERED)
+        self.world = World(shape, Plan(script.nodes), seed, self.catalogue.describe, REMEMBERED)
         self.world.witness = self.saw
         self.links = Links(script.links)
         self.world.held, self.world.filled = self.held, self.filled
@@ -88,22 +82,8 @@
     def write_tiers(self) -> None:
         """The hierarchy's next revision, as an operator writes it."""
         self.revision += 1
-        nodes, vault = self.world.nodes, self.world.vault.uid
-        lines = [f"revision {self.revision}", f"vault-cap {self.script.vault_cap:g}",
-                 f'vault "{vault}" {{ zone "{self.script.zones[0].name}"; }}']  # fmt: skip
-        for place in self.script.zones:
-            region = f'region "{place.region}"; ' if place.region else ""
-            prefers = f"prefers {quoted(place.prefers)}; " if place.prefers else ""
-            lines.append(f'zone "{place.name}" {{ {region}{prefers}takes {place.takes:g}; '
-                         f'ramp "{place.ramp:g}s"; }}')  # fmt: skip
-            lines += [f'hub "{nodes[hub].uid}" {{ zone "{place.name}"; capacity {place.bears:g}; '
-                      f'sources "{vault}"; }}' for hub in place.hubs]  # fmt: skip
-            order = [place, *(one for name in place.prefers for one in self.script.zones if one.name == name)]
-            sources = quoted([nodes[hub].uid for one in order for hub in one.hubs] + [vault])
-            shop = self.script.zones.index(place) + 1
-            lines += [f'cache "{node.uid}" {{ zone "{place.name}"; sources {sources}; }}'
-                      for node in nodes.values() if node.name.startswith(f"cache-{shop}-")]  # fmt: skip
-        (self.folder / "tiers.kdl").write_text("\n".join(lines) + "\n")
+        uids = {name: node.uid for name, node in self.world.nodes.items()}
+        (self.folder / "tiers.kdl").write_text(figures.hierarchy(self.script, uids, self.revision))
 
     def view(self, name: str, news: wire.News) -> wire.News:
         """The list as one gateway is told it: each node at the relay before it."""
@@ -123,16 +103,9 @@
             "peer_listen": f"{LOOPBACK}:{self.peer_ports[name]}",
             "peers": self.datagrams.seen_by(name),
         }
-        told["settings"] |= {"ordinal": self.names.index(name), "deductions": {"peer": PRICE}}
-        if self.script.zones:
-            shops = [len(place.gateways) for place in self.script.zones]
-            told["settings"]["myZone"] = world.locations[self.script.zones.index(self.at_home[name])]
-            told["settings"]["familyInfo"]["zoneBalancers"] = [*shops, 0]
-        told["settings"]["limits"]["peerMessages"] = True
-        starts, falls = self.script.cold
-        told["settings"]["rules"] |= {
-            "warmWithin": int(self.script.warm * 1e6), "startCapacity": starts, "fallMultiple": falls
-        }  # fmt: skip
+        told["settings"] = figures.settings(
+            self.script, self.names.index(name), *figures.homes(self.script), world.models, world.locations
+        )
         return told
 
     def saw(self, node: Node, fields: dict[str, str], sender: object) -> None:
@@ -252,22 +225,3 @@
 async def play(script: Script, without: frozenset[str], folder: Path, seed: int) -> Seen:
     (folder / "records").mkdir(parents=True, exist_ok=True)
     return await Rig(script, without, folder, seed).run()
-
-
-class Result(msgspec.Struct):
-    """What `--json` holds."""
-
-    script: str
-    verdict: str  # kept or broken
-    gateways: int
-    faults: int
-    without: list[str]
-    seconds: float
-    checks: list[Verdict]
-
-
-def result(script: Script, without: frozenset[str], seen: Seen, began: float) -> Result:
-    verdicts = [judge(check, seen) for check in script.checks] + [always(seen)]
-    kept = all(verdict.kept for verdict in verdicts)
-    return Result(script.name, "kept" if kept else "broken", len(script.gateways), script.count(),
-                  sorted(without), round(time.monotonic() - began, 1), verdicts)  # fmt: skip
