Emulator: scripts of together in virtual time, with the real router, council and hierarchy

Faults between gateways could be seen only on processes, seconds at a time, some 30 of them at most. The same scripts, faults, bounds and settings as the processes; virtual/ goes on its engine.

--- a/damsonstream/virtual/fleet.py
+++ b/damsonstream/virtual/fleet.py
@@ -11,8 +11,8 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from heapq import heappop, heappush
 
+from damsonstream.emulator.engine import Engine
 from damsonstream.peers.council import TURN, Council
 from damsonstream.peers.pieces import PIECES
 from damsonstream.virtual.links import MS, Links, S
@@ -50,16 +50,15 @@
     bytes_out: int = 0
 
 
-class Fleet:
+class Fleet(Engine):
     def __init__(
         self, count: int, seed: int, *, sources: int = 4, demands: Iterable[float] | None = None,
         links: Links | None = None, price: float = 0.01, pieces: frozenset[str] = frozenset(PIECES),
         locations: int = 1, clocks: int = 3 * S, fills: float = 0.3,
     ) -> None:  # fmt: skip
         """`demands`: GETs a second by gateway; `fills`: fills for each GET; `clocks`: how far apart."""
+        super().__init__()
         self.chance = random.Random(seed)
-        self.now, self.serial = 0, 0
-        self.heap: list[tuple[int, int, Callable[[], None]]] = []
         self.links = links or Links(random.Random(seed + 1))
         self.count, self.price, self.pieces, self.locations = count, price, pieces, locations
         self.fills = fills
@@ -77,7 +76,7 @@
                 Gateway(place, self.council(place, offset), offset, wanted[place],
                         [Switch() for _ in self.sources])
             )  # fmt: skip
-            self.begin(self.gateways[place])
+            self.enlist(self.gateways[place])
 
     def council(self, place: int, offset: int, boots: int = 1) -> Council:
         at_home = sum(1 for other in range(self.count) if other % self.locations == place % self.locations)
@@ -87,7 +86,7 @@
         council.listed((), tuple(self.sources))
         return council
 
-    def begin(self, gateway: Gateway) -> None:
+    def enlist(self, gateway: Gateway) -> None:
         council = gateway.council
         self.after(self.chance.randrange(TURN), lambda: self.turn(gateway, council))
         self.after(self.wait(gateway.demand), lambda: self.get(gateway, council))
@@ -95,19 +94,6 @@
     def wait(self, rate: float) -> int:
         return max(1, int(self.chance.expovariate(max(rate, 1e-9)) * S))
 
-    def at(self, when: int, what: Callable[[], None]) -> None:
-        self.serial += 1
-        heappush(self.heap, (when, self.serial, what))
-
-    def after(self, wait: int, what: Callable[[], None]) -> None:
-        self.at(self.now + wait, what)
-
-    def until(self, when: int) -> None:
-        while self.heap and self.heap[0][0] <= when:
-            self.now, _, what = heappop(self.heap)
-            what()
-        self.now = when
-
     # what happens to processes
 
     def kill(self, place: int) -> None:
@@ -119,7 +105,7 @@
         gateway.council = self.council(place, gateway.offset, gateway.boots)
         gateway.switches = [Switch() for _ in self.sources]
         gateway.alive, gateway.waiting = True, []
-        self.begin(gateway)
+        self.enlist(gateway)
 
     def stall(self, place: int, lasts: int) -> None:
         gateway = self.gateways[place]
