A hub that fails passes no unlocks on either: what made plays of evidence and turns swing

Ruled out: evidence's rule, loss on the links. At fault: the stand-in's effect() asked only whether the hub is down: a hub that fails every fill passed on 2 unlocks a second, and each is an answer that rightly objects to 'dead'.

--- a/damsonstream/emulator/nodes.py
+++ b/damsonstream/emulator/nodes.py
@@ -212,7 +212,8 @@
         """A GET that changes something: it runs at the vault, once for each token."""
         world, vault = self.world, self.world.vault
         condition, source = vault.condition(), world.by_uid.get(command.source, vault)
-        if source.condition().down:
+        way = source.condition()
+        if way.down or (source is not vault and world.chance.random() < way.fail):
             return Answer("errored", note_of("src_broke"))
         if condition.down:
             return Answer("errored", note_of("origin_failed"))
--- a/damsonstream/standins/servers.py
+++ b/damsonstream/standins/servers.py
@@ -302,8 +302,9 @@
         """A GET that changes something: it runs at the vault, once for each token."""
         world, began = self.node.world, self.node.world.now()
         condition, source = world.vault.condition(), world.by_uid.get(fields.get("fetch", ""), world.vault)
-        if source.condition().down:
-            return "crashed", {"res": "src_broke"}, b""
+        way = source.condition()
+        if way.down or (source is not world.vault and world.chance.random() < way.fail):
+            return "crashed", {"res": "src_broke"}, b""  # it passes nothing on, so that nothing ran
         if condition.down:
             return "crashed", {"res": "origin_failed"}, b""
         await anyio.sleep(FETCH["vault"] + condition.delay)
