--- a/damsonstream/program/commands/root.py
+++ b/damsonstream/program/commands/root.py
@@ -29,6 +29,10 @@
         "damsonstream.program.commands.together:together",
         "Play faults between several gateways.",
     ),
+    "experiment": (
+        "damsonstream.program.commands.experiment:experiment",
+        "Play fleets in virtual time and compare.",
+    ),
     "console": ("damsonstream.program.commands.console:console", "Watch a fleet by its records."),
     "completion": (
         "damsonstream.program.commands.completion:completion",
