--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -15,6 +15,7 @@
 from damsonstream.program.config import footprint
 from damsonstream.settings import kdl
 from damsonstream.together import script, verdict
+from damsonstream.together.checks import CHECKS
 from damsonstream.together.script import Script
 from tests.helpers import TraceCase
 
@@ -216,7 +217,7 @@
                 'measure "asked" { better "most"; }', "shops 0", "seed 4",
             )],
             [
-                f":8: measure: takes one of {', '.join(study.CHECKS)}",
+                f":8: measure: takes one of {', '.join(CHECKS)}",
                 f":8: policy.router: best is none of {', '.join(baselines.NAMES)}",
                 ":8: policy.without: turn is none of evidence, turns, shares, subsets, members, zones",
                 ":8: measure.better: most is neither more nor less",
