--- a/damsonstream/emulator/play.py
+++ b/damsonstream/emulator/play.py
@@ -12,7 +12,6 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import replace
 from functools import cache, partial
 from hashlib import blake2b
 from typing import Any
@@ -208,8 +207,3 @@
         seen = self.seen
         whole = (seen.forwards, seen.tries, seen.fills, seen.datagrams, seen.opened, seen.faults)
         return blake2b(repr(whole).encode(), digest_size=8).hexdigest()
-
-
-def shortened(script: Script, lasts: float) -> Script:
-    """The same without what begins later: for looks."""
-    return replace(script, lasts=min(lasts, script.lasts))
--- a/damsonstream/program/commands/experiment.py
+++ b/damsonstream/program/commands/experiment.py
@@ -4,7 +4,6 @@
 
 import os
 import tempfile
-from collections import Counter
 from dataclasses import replace
 from pathlib import Path
 
@@ -15,7 +14,7 @@
 from damsonstream.emulator.play import Play, Unfit
 from damsonstream.peers.pieces import PIECES
 from damsonstream.program import toollogs
-from damsonstream.program.commands.playing import played
+from damsonstream.program.commands.playing import played, tell
 from damsonstream.program.config import footprint
 from damsonstream.settings import kdl
 from damsonstream.together import checks, script, verdict
@@ -193,10 +192,7 @@
         return 2
     seen = made.run()
     found = verdict.result(told, frozenset(without), seen, 0.0)
-    for one in found.checks:
-        click.echo(f"  {'kept  ' if one.kept else 'BROKEN'}  {one.name}: {one.seen:g} ({one.bound})")
-    ended = Counter(one.outcome or "open" for one in seen.tries)
-    click.echo("GETs: " + ", ".join(f"{count} {name}" for name, count in ended.most_common()))
+    tell(found, seen)
     click.echo(f"{found.verdict}, digest {made.digest()}")
     return 0 if found.verdict == "kept" else 1
 
--- a/damsonstream/program/commands/playing.py
+++ b/damsonstream/program/commands/playing.py
@@ -1,15 +1,21 @@
-"""What `demo` and `together` share: a play that can't be played ends the command with its exit code.
+"""What commands that play share: one that can't be played ends the command with its exit code.
 
-How it is called: `played(lambda: anyio.run(...))` gives what the play gives.
+How it is called: `played(lambda: anyio.run(...))` gives what the play gives; `tell(found, seen)` prints the
+bounds and how GETs ended.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from typing import TypeVar
 
 import click
 
+from damsonstream.together.checks import Seen as Shown
+from damsonstream.together.checks import told
+from damsonstream.together.verdict import Result
+
 Seen = TypeVar("Seen")
 
 
@@ -23,3 +29,12 @@
     except (RuntimeError, OSError) as fault:
         click.echo(f"The fleet could not be played: {fault}", err=True)
         raise click.exceptions.Exit(2) from fault
+
+
+def tell(found: Result, seen: Shown) -> None:
+    for one in found.checks:
+        click.echo(f"  {'kept  ' if one.kept else 'BROKEN'}  {one.name}: {one.seen:g} ({one.bound})")
+    for text in told(seen):
+        click.echo(f"          {text}")
+    ended = Counter(one.outcome or "open" for one in seen.tries)
+    click.echo("GETs: " + ", ".join(f"{count} {name}" for name, count in ended.most_common()))
--- a/damsonstream/program/commands/together.py
+++ b/damsonstream/program/commands/together.py
@@ -4,7 +4,6 @@
 
 import tempfile
 import time
-from collections import Counter
 from pathlib import Path
 
 import anyio
@@ -13,7 +12,7 @@
 
 from damsonstream.peers.pieces import PIECES
 from damsonstream.program import toollogs
-from damsonstream.program.commands.playing import played
+from damsonstream.program.commands.playing import played, tell
 from damsonstream.settings import kdl
 from damsonstream.standins.faults import KINDS as NODE_KINDS
 from damsonstream.together import checks, links, rig, script, verdict
@@ -47,12 +46,7 @@
     uvloop = {"use_uvloop": True}
     seen = played(lambda: anyio.run(rig.play, told, off, folder, seed, backend_options=uvloop))
     found = verdict.result(told, off, seen, time.monotonic() - began)
-    for one in found.checks:
-        click.echo(f"  {'kept  ' if one.kept else 'BROKEN'}  {one.name}: {one.seen:g} ({one.bound})")
-    for text in checks.told(seen):
-        click.echo(f"          {text}")
-    ended = Counter(one.outcome or "open" for one in seen.tries)
-    click.echo("GETs: " + ", ".join(f"{count} {name}" for name, count in ended.most_common()))
+    tell(found, seen)
     click.echo(found.verdict)
     if json_file is not None:
         try:
