Processes and virtual time ask the script and its links the same way; one loop over a folder of scripts

Need: read again, the emulator's play had twins in the rig: the rate at a time and its peak, how long nothing passes between two nodes, the zone of each node; two commands listed a folder with the same loop; node models stood three times. The rig kept a table that nothing read any more. Change: Script.rate_at and most_rate, Links.held, figures.zones, playing.scripts; both sides call them.

--- a/damsonstream/emulator/nodes.py
+++ b/damsonstream/emulator/nodes.py
@@ -22,7 +22,7 @@
 UNIX = 1_764_576_000 * S  # what the clocks of all gateways show as a play begins
 FOREVER = 3600 * S
 HIT, LONGEST, SETTLE = int(servers.HIT * S), int(servers.LONGEST * S), int(servers.SETTLE * S)
-MODELS = ("box", "hub", "vault")
+MODELS = servers.World.models
 MODEL = {"cache": "box", "hub": "hub", "vault": "vault"}
 STATES = ("active", "leaving", "left")
 GRACE = 1.0  # seconds after a drain was told, as the settings of a play have it
--- a/damsonstream/emulator/play.py
+++ b/damsonstream/emulator/play.py
@@ -19,7 +19,7 @@
 from damsonstream.demo.figures import OFFERS, REMEMBERED
 from damsonstream.emulator.engine import Engine, S
 from damsonstream.emulator.gateway import Decides, Gateway
-from damsonstream.emulator.nodes import Node, World
+from damsonstream.emulator.nodes import MODELS, Node, World
 from damsonstream.emulator.viewers import Front
 from damsonstream.peers import wire
 from damsonstream.peers.council import digest as zone_digest
@@ -72,13 +72,11 @@
         world = self.world
         self.footprint: Callable[[int], Footprint] = cache(
             lambda place: footprint(
-                figures.settings(script, place, home, counts, ("box", "hub", "vault"), world.locations)
+                figures.settings(script, place, home, counts, MODELS, world.locations)
             )
         )
         self.seen = Seen(names)
-        self.zones = {hub: zone.name for zone in script.zones for hub in zone.hubs}
-        for shop, zone in enumerate(script.zones, 1):
-            self.zones |= {f"cache-{shop}-{n + 1}": zone.name for n in range(caches)}
+        self.zones = figures.zones(script, caches)
         self.uids = {name: node.uid for name, node in world.nodes.items()}
         self.revision, self.hierarchy = 0, ""
         if script.zones:
@@ -98,8 +96,7 @@
     # paths between processes
 
     def wait_seconds(self, a: str, b: str) -> float:
-        way = self.links.between(a, b, self.engine.now / S)
-        return max(way.delay, way.cut - self.engine.now / S if way.cut else 0.0)
+        return self.links.held(a, b, self.engine.now / S)
 
     def wait(self, a: str, b: str) -> int:
         """Ticks that something now needs from a to b over a stream, besides its usual way."""
@@ -167,8 +164,7 @@
                 self.world.tell_state(name, 0)
 
     def rate(self, at: float) -> float:
-        factors = [s.amount for s in self.script.steps if s.does == "rate" and s.at <= at < s.end]
-        return self.shops * self.script.rate * (max(factors) if factors else 1.0)
+        return self.shops * self.script.rate_at(at)
 
     def run(self) -> Seen:
         script, engine = self.script, self.engine
@@ -183,7 +179,7 @@
                     for node in (node for node in self.world.nodes if fault.meets(gateway.name, node)):
                         reset = partial(gateway.run, partial(gateway.broke, node))
                         engine.at(int(fault.start * S), reset)
-        most = max([self.rate(0.0), *(self.rate(step.at) for step in script.steps)])
+        most = self.shops * script.most_rate()
         self.front.begin(
             arrivals(self.catalogue, self.rate, most, script.lasts, VIEWERS, self.seed + 2)
         )
--- a/damsonstream/program/commands/experiment.py
+++ b/damsonstream/program/commands/experiment.py
@@ -14,7 +14,7 @@
 from damsonstream.emulator.play import Play, Unfit
 from damsonstream.peers.pieces import PIECES
 from damsonstream.program import toollogs
-from damsonstream.program.commands.playing import played, tell
+from damsonstream.program.commands.playing import played, scripts, tell
 from damsonstream.program.config import footprint
 from damsonstream.settings import kdl
 from damsonstream.together import checks, script, verdict
@@ -164,12 +164,7 @@
 @click.argument("folder", default="examples/experiments", type=click.Path(path_type=Path, file_okay=False))
 def listed(folder: Path) -> int:
     """Name the experiments of a folder, and what they can vary."""
-    for path in sorted(folder.glob("*.kdl")):
-        try:
-            told = study.load(str(path))
-        except kdl.Fault as fault:
-            click.echo(fault, err=True)
-            return 2
+    for told in scripts(folder, study.load):
         click.echo(f"{told.name:18} {len(told.cells())} plays: {told.about}")
     click.echo(f"routers: {', '.join(baselines.NAMES)}")
     click.echo(f"pieces: {', '.join(PIECES)}")
--- a/damsonstream/program/commands/together.py
+++ b/damsonstream/program/commands/together.py
@@ -12,7 +12,7 @@
 
 from damsonstream.peers.pieces import PIECES
 from damsonstream.program import toollogs
-from damsonstream.program.commands.playing import played, tell
+from damsonstream.program.commands.playing import played, scripts, tell
 from damsonstream.settings import kdl
 from damsonstream.standins.faults import KINDS as NODE_KINDS
 from damsonstream.together import checks, links, rig, script, verdict
@@ -61,12 +61,7 @@
 @click.argument("folder", default="examples/together", type=click.Path(path_type=Path, file_okay=False))
 def listed(folder: Path) -> int:
     """Name the scripts of a folder, and what scripts can do and check."""
-    for path in sorted(folder.glob("*.kdl")):
-        try:
-            told = script.load(str(path))
-        except kdl.Fault as fault:
-            click.echo(fault, err=True)
-            return 2
+    for told in scripts(folder, script.load):
         click.echo(f"{told.name:18} {told.lasts:g} s: {told.about}")
     click.echo(f"faults: {', '.join((*links.KINDS, *NODE_KINDS, *PROCESS_KINDS, *OWN))}")
     click.echo(f"checks: {', '.join(checks.CHECKS)}")
--- a/damsonstream/together/figures.py
+++ b/damsonstream/together/figures.py
@@ -24,6 +24,14 @@
     return (lambda place: of[script.gateways[place]]), [len(zone.gateways) for zone in script.zones]
 
 
+def zones(script: Script, caches: int) -> dict[str, str]:
+    """The zone of each hub and cache; each shop has so many caches."""
+    found = {hub: zone.name for zone in script.zones for hub in zone.hubs}
+    for shop, zone in enumerate(script.zones, 1):
+        found |= {f"cache-{shop}-{number + 1}": zone.name for number in range(caches)}
+    return found
+
+
 def settings(
     script: Script, place: int, home: Callable[[int], int], shops: Sequence[int], models: Sequence[str],
     locations: Sequence[str],
--- a/damsonstream/together/links.py
+++ b/damsonstream/together/links.py
@@ -78,6 +78,11 @@
             broken=any(fault.kind == "break" for fault in faults),
         )  # fmt: skip
 
+    def held(self, a: str, b: str, at: float) -> float:
+        """Seconds for which nothing passes between two nodes."""
+        way = self.between(a, b, at)
+        return max(way.delay, way.cut - at if way.cut else 0.0)
+
     def breaks(self, a: str, b: str) -> list[float]:
         """When what is open between them is reset."""
         return [fault.start for fault in self.faults if fault.kind == "break" and fault.meets(a, b)]
--- a/damsonstream/together/rig.py
+++ b/damsonstream/together/rig.py
@@ -48,12 +48,7 @@
         self.world.witness = self.saw
         self.links = Links(script.links)
         self.world.held, self.world.filled = self.held, self.filled
-        # zones by gateway and by node
-        self.at_home = {name: place for place in script.zones for name in place.gateways}
-        self.zones = {hub: place.name for place in script.zones for hub in place.hubs}
-        for shop, place in enumerate(script.zones):
-            for number in range(max(per_shop)):
-                self.zones[f"cache-{shop + 1}-{number + 1}"] = place.name
+        self.zones = figures.zones(script, max(per_shop))
         self.revision = 0
         self.folder = folder
         self.datagrams = Datagrams(self.names, self.links, self.world.now, random.Random(seed + 3))
@@ -71,9 +66,7 @@
         self.seed = seed
 
     def held(self, a: str, b: str) -> float:
-        """Seconds for which nothing passes between two nodes."""
-        way = self.links.between(a, b, self.world.now())
-        return max(way.delay, way.cut - self.world.now() if way.cut else 0.0)
+        return self.links.held(a, b, self.world.now())
 
     def filled(self, asker: Node, source: Node) -> None:
         zones = self.zones.get(asker.name, ""), self.zones.get(source.name, "")
@@ -167,13 +160,10 @@
                 elif step.does == "drain":
                     self.world.tell_state(name, 0)
 
-    def rate(self, at: float) -> float:
-        factors = [s.amount for s in self.script.steps if s.does == "rate" and s.at <= at < s.end]
-        return self.script.rate * (max(factors) if factors else 1.0)
-
     async def viewers(self) -> None:
-        most = max([self.rate(0.0), *(self.rate(step.at) for step in self.script.steps)])
-        wishes = arrivals(self.catalogue, self.rate, most, self.script.lasts, VIEWERS, self.seed + 2)
+        script = self.script
+        wishes = arrivals(self.catalogue, script.rate_at, script.most_rate(), script.lasts, VIEWERS,
+                          self.seed + 2)  # fmt: skip
         await self.front.play_out(wishes)
 
     async def run(self) -> Seen:
--- a/damsonstream/together/script.py
+++ b/damsonstream/together/script.py
@@ -74,6 +74,14 @@
     steps: tuple[Step, ...]
     checks: tuple[Check, ...]
 
+    def rate_at(self, at: float) -> float:
+        """GETs a second that viewers bring then."""
+        factors = [s.amount for s in self.steps if s.does == "rate" and s.at <= at < s.end]
+        return self.rate * (max(factors) if factors else 1.0)
+
+    def most_rate(self) -> float:
+        return max([self.rate_at(0.0), *(self.rate_at(step.at) for step in self.steps)])
+
     def count(self) -> int:
         return len(self.nodes) + len(self.links) + sum(step.does not in ("rate",) for step in self.steps)
 
