--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Four bad clients send endless messages at full speed, while usual clients send 20 GETs a second."""
+"""Eight bad clients send endless messages at full speed, while usual clients send 20 GETs a second."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import standins as s
 
-BAD_CLIENTS, FLOOD_AT_S, FLOOD_S, END_AT_S, RATE = 4, 3.0, 8.0, 14.0, 20
+BAD_CLIENTS, FLOOD_AT_S, FLOOD_S, END_AT_S, RATE = 8, 3.0, 8.0, 14.0, 20
 VIEWER_TIMEOUT_MS = 2500  # of `thumbs`; clients give up a try after 50 to 100% of it
 LOST_AFTER_S = 0.5 + 0.05  # "Up to half a second after its time it only earns nothing"; 50 ms on sockets
 MOST_LAG_S = 0.25  # of this process, above which its times say nothing
