Writes whose records come in turn are answered; they ended all GETs of their connection

Change: that bound is gone. Each request has its own (16 KB of parameters, 48,000 of body), and all of them the memory that the connection may use; what has no room is refused alone.

Measured: tests.test_floods.OneConnection.test_writes_whose_records_come_in_turn sends 32 writes in turn; it failed before (connection ended), passes now.

--- a/damsonstream/protocol/fastcgi.py
+++ b/damsonstream/protocol/fastcgi.py
@@ -28,7 +28,6 @@
 # Memory of a request besides its body: its task, its forwards, and what the router knows of it.
 REQUEST_OVERHEAD_BYTES = 6_144
 FIELD_BYTES = 256  # memory of one decoded parameter besides its text: two objects and an entry of a table
-MAX_PARTIAL_BYTES = 262_144  # of all partly received GETs of a connection: five complete writes
 
 
 class ProtocolError(Exception):
@@ -91,7 +90,6 @@
     params: bytearray = field(default_factory=bytearray)
     body: bytearray = field(default_factory=bytearray)
     fields: dict[bytes, bytes] | None = None
-    received_bytes: int = 0  # of parameters and body so far
     reserved_bytes: int = 0  # of the budget, for this request so far
 
 
@@ -171,7 +169,6 @@
         self.partial_requests: dict[int, PartialRequest] = {}  # partly received GETs by id
         self.open_ids: set[int] = set()  # ids of received GETs without an answer; removed by release_id()
         self.refused = 0  # GETs that were refused before they were received completely
-        self.partial_bytes = 0  # content of all partly received GETs
 
     @property
     def incomplete(self) -> bool:
@@ -227,10 +224,6 @@
                 return record  # behind the end of the parameters
             if len(stream) + size > limit:
                 raise ProtocolError("oversize")
-            partial.received_bytes += size
-            self.partial_bytes += size
-            if self.partial_bytes > MAX_PARTIAL_BYTES:
-                raise ProtocolError("oversize")
             if self.reserve(partial, size):
                 record.partial, record.stream = partial, stream
             else:
@@ -307,7 +300,6 @@
         kept = REQUEST_OVERHEAD_BYTES + len(partial.body)
         self.budget.release(partial.reserved_bytes - kept)
         del self.partial_requests[partial.id]
-        self.partial_bytes -= partial.received_bytes
         self.open_ids.add(partial.id)
         return Request(partial.id, fields, bytes(partial.body), partial.keep_connection, kept)
 
@@ -328,7 +320,6 @@
         """Forgets a partly received GET and releases its memory."""
         del self.partial_requests[partial.id]
         self.budget.release(partial.reserved_bytes)
-        self.partial_bytes -= partial.received_bytes
         record = self.record
         if record is not None and record.partial is partial:
             record.partial = record.stream = None
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -25,7 +25,7 @@
 from damsonstream.protocol import fastcgi, resp
 from damsonstream.transport.memory import ConnectionMemory, RequestMemory
 from tests.helpers import StandIn, get_records
-from tests.test_gateway import GatewayHarness, config_document, read_answers
+from tests.test_gateway import GatewayHarness, LoopbackFixture, config_document, read_answers
 
 ROOT = Path(__file__).resolve().parent.parent
 MAX_BODY = bytes(48_000)
@@ -254,3 +254,33 @@
         )  # fmt: skip
         self.assertIs(pieces[1], MAX_BODY)
         self.assertEqual(b"".join(pieces), resp.array(b"REQ", b"9b", b"kind=tiles,ms=1", MAX_BODY))
+
+
+class OneConnection(FloodCase):
+    """Against the failures in which one request on a connection ended the others that were open on it."""
+
+    def test_writes_whose_records_come_in_turn(self) -> None:
+        """A connection carries as many writes as it may, the records of all in turn; all are answered."""
+
+        async def scenario(group: TaskGroup) -> None:
+            fixture = LoopbackFixture()
+            await fixture.start(group)
+            client = await fixture.client()
+            sizes = (fastcgi.BEGIN, BEGIN_CONTENT), (fastcgi.PARAMS, None), (fastcgi.PARAMS, b"")
+            body = [(fastcgi.STDIN, MAX_BODY[:12_000])] * 4 + [(fastcgi.STDIN, b"")]
+            parts = [b"".join(fastcgi.pair(n.encode(), v.encode()) for n, v in get_fields(f"{id:x}e").items())
+                     for id in range(1, 33)]  # fmt: skip
+            for kind, content in (*sizes, *body):
+                for id, fields in enumerate(parts, 1):
+                    await client.send(fastcgi.record(kind, id, fields if content is None else content))
+            await fixture.cache.wait_until(lambda: len(fixture.cache.commands) == 32)
+            self.assertEqual({len(command[3]) for command in fixture.cache.commands}, {48_000})
+            for command in fixture.cache.commands:
+                for stream in fixture.cache.streams:
+                    await stream.send(resp.array(command[1], b"served", b"res=hit", b"object"))
+            lines = await read_answers(client, 32)
+            self.assertEqual(sum("200 OK" in line for line in lines), 32)
+            memory = fixture.server.listener.request_memory
+            self.assertEqual((memory.used, memory.shared_used), (0, 0))
+
+        self.run_scenario(scenario)
