--- a/damsonstream/protocol/fastcgi.py
+++ b/damsonstream/protocol/fastcgi.py
@@ -28,6 +28,14 @@
 # Memory of a request besides its body: its task, its forwards, and what the router knows of it.
 REQUEST_OVERHEAD_BYTES = 6_144
 FIELD_BYTES = 256  # memory of one decoded parameter besides its text: two objects and an entry of a table
+# Input without effect is limited: records of inactive ids, which the specification requires to be ignored,
+# and management records. It is counted in bytes of content, an empty record as one byte. A GET that is
+# refused or aborted before it was received completely allows its own rest, a complete one an abort that
+# crosses the answer.
+IDLE_INPUT_PER_REFUSED = MAX_PARAMS_BYTES + MAX_BODY_BYTES + 8
+IDLE_INPUT_PER_COMPLETE = 8
+MAX_IDLE_INPUT = MAX_OPEN_REQUESTS * IDLE_INPUT_PER_REFUSED
+UNLIMITED_RECORDS = 1 << 30
 
 
 class ProtocolError(Exception):
@@ -165,10 +173,12 @@
     def __init__(self, budget: RequestBudget | None = None) -> None:
         self.budget: RequestBudget = budget if budget is not None else UnlimitedBudget()
         self.buffer = b""  # input that is not decoded yet
+        self.has_more = False  # whether the buffer may hold complete records
         self.record: RecordInProgress | None = None
         self.partial_requests: dict[int, PartialRequest] = {}  # partly received GETs by id
         self.open_ids: set[int] = set()  # ids of received GETs without an answer; removed by release_id()
         self.refused = 0  # GETs that were refused before they were received completely
+        self.idle_input = IDLE_INPUT_PER_REFUSED  # input without effect that is still allowed, in bytes
 
     @property
     def incomplete(self) -> bool:
@@ -178,12 +188,15 @@
     def release_id(self, id: int) -> None:
         self.open_ids.discard(id)
 
-    def feed(self, data: bytes) -> list[Message]:
+    def feed(self, data: bytes, max_records: int = UNLIMITED_RECORDS) -> list[Message]:
+        """Decodes up to `max_records` records. What is left is kept, and `has_more` tells that a call without
+        data may decode more of it."""
         if self.buffer:
             data = self.buffer + data
         messages: list[Message] = []
         offset, end = 0, len(data)
-        while True:
+        self.has_more = False
+        for _ in range(max_records):
             if self.record is None:
                 if end - offset < HEADER.size:
                     break
@@ -202,6 +215,8 @@
             message = self.end_record(record)
             if message is not None:
                 messages.append(message)
+        else:
+            self.has_more = offset < end
         self.buffer = data[offset:]
         return messages
 
@@ -248,6 +263,7 @@
         """Handles a record that has been received completely."""
         kind, id, partial = record.kind, record.id, record.partial
         if id == 0:
+            self.count_idle_input(record.size)
             return self.handle_management(kind, record.stream)
         if kind == BEGIN:
             return self.begin_request(id, bytes(record.stream or b""))
@@ -262,6 +278,7 @@
             return self.end_params(partial)
         if partial is not None and partial.fields is not None:
             return self.complete(partial, partial.fields)
+        self.count_idle_input(record.size)
         return None
 
     def handle_management(self, kind: int, content: bytearray | None) -> Message:
@@ -277,6 +294,7 @@
         if id in self.partial_requests or id in self.open_ids:  # its end would pass for that of the open GET
             raise ProtocolError("busy-id")
         if int.from_bytes(content[:2], "big") != RESPONDER:
+            self.allow_idle_input(IDLE_INPUT_PER_REFUSED)
             return ManagementReply(end_request(id, UNKNOWN_ROLE))
         partial = PartialRequest(id, bool(content[2] & KEEP_CONN))
         self.partial_requests[id] = partial
@@ -301,6 +319,7 @@
         self.budget.release(partial.reserved_bytes - kept)
         del self.partial_requests[partial.id]
         self.open_ids.add(partial.id)
+        self.allow_idle_input(IDLE_INPUT_PER_COMPLETE)
         return Request(partial.id, fields, bytes(partial.body), partial.keep_connection, kept)
 
     def reserve(self, partial: PartialRequest, size: int) -> bool:
@@ -320,6 +339,7 @@
         """Forgets a partly received GET and releases its memory."""
         del self.partial_requests[partial.id]
         self.budget.release(partial.reserved_bytes)
+        self.allow_idle_input(IDLE_INPUT_PER_REFUSED)
         record = self.record
         if record is not None and record.partial is partial:
             record.partial = record.stream = None
@@ -328,3 +348,11 @@
         """Forgets all partly received GETs, at the end of the connection."""
         for partial in list(self.partial_requests.values()):
             self.drop(partial)
+
+    def allow_idle_input(self, size: int) -> None:
+        self.idle_input = min(self.idle_input + size, MAX_IDLE_INPUT)
+
+    def count_idle_input(self, size: int) -> None:
+        self.idle_input -= max(1, size)
+        if self.idle_input < 0:
+            raise ProtocolError("idle-input")
--- a/damsonstream/protocol/resp.py
+++ b/damsonstream/protocol/resp.py
@@ -2,8 +2,9 @@
 and reads no clock.
 
 Usage: `forward()` and `stop()` encode a command. `Decoder().feed(data)` returns the answers that `data`
-completes. After malformed input, the answers before it are returned, `error` holds the reason, and all
-further input is ignored. This module maps the names of the wire to those used elsewhere in the code.
+completes, up to a maximum number. After malformed input, the answers before it are returned, `error` holds
+the reason, and all further input is ignored. This module maps the names of the wire to those used elsewhere
+in the code.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 MAX_LENGTH_LINE_BYTES = 16  # of a line with a length
 MAX_LOAD = 1e6  # larger values of a gauge, and those that are no number, are ignored
 MAX_WAIT_MS = 10**9  # of the waiting time that an answer reports
+UNLIMITED_ANSWERS = 1 << 30
 
 RESULT_BY_WORD = {
     b"served": "returned",
@@ -144,26 +146,30 @@
         self.strings_left = 0  # strings of it still missing; 0: an array begins next
         self.string_bytes = -1  # size of the string to read; -1: its length line is next
         self.error = ""  # reason why input is ignored; empty: it is not
+        self.has_more = False  # whether the buffer may hold complete answers
 
     @property
     def incomplete(self) -> bool:
         """Whether an answer has been received in part."""
         return bool(self.buffer) or self.strings_left > 0
 
-    def feed(self, data: bytes) -> list[Answer]:
+    def feed(self, data: bytes, max_answers: int = UNLIMITED_ANSWERS) -> list[Answer]:
+        """Decodes up to `max_answers` answers. What is left is kept, and `has_more` tells that a call without
+        data may decode more of it."""
         answers: list[Answer] = []
         if not self.error:
             self.buffer += data
             try:
-                self.parse_buffer(answers)
+                self.parse_buffer(answers, max_answers)
             except ProtocolError as error:
                 self.error = str(error)
                 self.buffer.clear()
+        self.has_more = len(answers) == max_answers and len(self.buffer) > 0
         return answers
 
-    def parse_buffer(self, answers: list[Answer]) -> None:
+    def parse_buffer(self, answers: list[Answer], max_answers: int) -> None:
         offset = 0
-        while True:
+        while len(answers) < max_answers:
             if self.string_bytes >= 0:
                 end = offset + self.string_bytes
                 if len(self.buffer) < end + 2:
--- a/damsonstream/transport/caches.py
+++ b/damsonstream/transport/caches.py
@@ -19,7 +19,7 @@
 from anyio.abc import TaskGroup
 
 from damsonstream.protocol import bulletin, resp
-from damsonstream.transport.link import TcpConnection
+from damsonstream.transport.scheduling import InputScheduler, ScheduledConnection
 
 log = logging.getLogger(__name__)
 # A connection on which no byte arrives for this long in the middle of an answer is closed: an answer that
@@ -35,6 +35,11 @@
 SWEEP_INTERVAL_S = 0.25  # between checks for timeouts
 # A connection with more data in its send buffer accepts no new forwards. It is more than one write.
 MAX_UNSENT_BYTES = 1 << 16
+# Answers to no forward, beyond those to forwards that were canceled: a cache may send each answer twice, and
+# one under an unknown identifier with it. A connection with more is closed, as it would keep the gateway
+# busy.
+MAX_UNASKED_PER_FORWARD = 2
+ANSWERS_PER_STEP = 4  # decoded before the time used is looked at
 # Identifiers of finished forwards remembered per connection; late answers to them arrive within a few GETs.
 MAX_FINISHED_IDENTS = 256
 ForwardResult = resp.Answer | resp.Lost
@@ -55,17 +60,18 @@
             self.connection.cancel_forward(self)
 
 
-class Connection(TcpConnection):
+class Connection(ScheduledConnection):
     """One connection to a cache, shared by up to `max_streams` pending forwards."""
 
     def __init__(self, pool: Pool, owner: CacheConnections) -> None:
-        super().__init__()
+        super().__init__(owner.scheduler)
         self.pool, self.owner = pool, owner
         self.decoder = resp.Decoder()
         self.pending: dict[bytes, PendingForward] = {}  # by ident; removed on answer, cancel and close
         self.finished: OrderedDict[bytes, None] = OrderedDict()  # canceled or answered, oldest first
         self.retire_reason = ""  # why no new forwards are accepted; empty: they are
         self.forwards = 0
+        self.unasked = 0  # answers to no forward
         # when the first forward was sent since data last arrived; 0: none
         self.awaiting_since = 0.0
         self.closed = anyio.Event()
@@ -112,19 +118,27 @@
         if len(self.finished) > MAX_FINISHED_IDENTS:
             self.finished.popitem(last=False)
 
-    def handle_data(self, data: bytes) -> None:
-        for answer in self.decoder.feed(data):
-            forward = self.pending.pop(answer.ident, None)
-            if forward is None:  # canceled before, a duplicate, or an unknown identifier: ignored
-                self.finished.pop(answer.ident, None)
-            else:
-                # a duplicate that arrives later must not be taken as the answer to another forward
-                self.mark_finished(answer.ident)
-                forward.on_result(answer)
+    def process_input(self, data: bytes) -> bool:
+        for answer in self.decoder.feed(data, ANSWERS_PER_STEP):
+            self.handle_answer(answer)
         if self.decoder.error:
             log.warning("malformed", extra={"cache": self.pool.cache, "what": self.decoder.error})
             self.close("malformed")
+        elif self.unasked > MAX_UNASKED_PER_FORWARD * self.forwards:
+            self.close("unasked")
         self.last_used, self.awaiting_since = time.monotonic(), 0.0
+        return self.decoder.has_more
+
+    def handle_answer(self, answer: resp.Answer) -> None:
+        forward = self.pending.pop(answer.ident, None)
+        if forward is not None:
+            # a duplicate that arrives later must not be taken as the answer to another forward
+            self.mark_finished(answer.ident)
+            forward.on_result(answer)
+        elif answer.ident in self.finished:  # canceled before, or a duplicate
+            del self.finished[answer.ident]
+        else:
+            self.unasked += 1
 
     def handle_close(self) -> None:
         """Reports all pending forwards as lost. Also called if the connection was never established; the
@@ -180,6 +194,7 @@
         # including those to caches no longer listed; removed on close
         self.open_connections: dict[Connection, None] = {}
         self.tasks: TaskGroup | None = None
+        self.scheduler = InputScheduler()
 
     def update_list(self, event: bulletin.ListChanged) -> None:
         """Opens and retires pools according to a full list or a change of it."""
--- a/damsonstream/transport/front.py
+++ b/damsonstream/transport/front.py
@@ -18,10 +18,12 @@
 import anyio
 
 from damsonstream.protocol import fastcgi
-from damsonstream.transport.link import TcpConnection
 from damsonstream.transport.memory import ConnectionMemory, RequestMemory
+from damsonstream.transport.scheduling import InputScheduler, ScheduledConnection
 
 log = logging.getLogger(__name__)
+READ_BYTES = 1 << 14  # at a time from one connection; what is not decoded at once is kept until it is
+RECORDS_PER_STEP = 4  # decoded before the time used is looked at: a small GET
 # Connections with more unsent data count against the memory limit. It is more than one object.
 SLOW_CLIENT_BYTES = 1 << 18
 # Time limit for the first GET on a connection, and for receiving a whole GET: clients that send nothing or
@@ -52,17 +54,20 @@
 NO_OPEN_GET = NoOpenGet()
 
 
-class Client(TcpConnection):
+class Client(ScheduledConnection):
     """One client's connection."""
 
+    read_buffer = memoryview(bytearray(READ_BYTES))
+
     def __init__(self, listener: ClientListener) -> None:
-        super().__init__()
+        super().__init__(listener.scheduler)
         self.listener = listener
         self.memory = ConnectionMemory(listener.request_memory)
         self.decoder = fastcgi.Decoder(self.memory)
         self.open_gets: dict[int, OpenGet] = {}  # by request id; removed on answer, abort and close
         # when the GET that is partly received began, or the connection if it has sent none
         self.incomplete_since = self.last_used
+        self.replies: list[bytes] | None = None  # sent together after a step of the input
         self.close_after_answers = False  # the client asked for a close after the open answers
         self.gets = 0
         self.peer = ""
@@ -72,24 +77,29 @@
         self.listener.add(self)
         super().connection_made(transport)
 
-    def handle_data(self, data: bytes) -> None:
-        was_complete = self.gets > 0 and not self.decoder.incomplete  # the state before this data
-        if was_complete:
+    def process_input(self, data: bytes) -> bool:
+        if self.gets and not self.decoder.incomplete:  # before this data
             self.incomplete_since = time.monotonic()
+        self.replies = []
         try:
-            for message in self.decoder.feed(data):
-                match message:
-                    case fastcgi.Request():
-                        self.handle_get(message)
-                    case fastcgi.RequestAborted(id=id):
-                        if (open_get := self.open_gets.pop(id, None)) is not None:
-                            open_get.client_left()
-                            self.decoder.release_id(id)
-                            self.send(fastcgi.end_request(id))
-                    case fastcgi.ManagementReply(data=reply):
-                        self.send(reply)
+            for message in self.decoder.feed(data, RECORDS_PER_STEP):
+                self.handle_message(message)
         except fastcgi.ProtocolError as error:
             self.close(str(error))
+        self.send_replies()
+        return self.decoder.has_more
+
+    def handle_message(self, message: fastcgi.Message) -> None:
+        match message:
+            case fastcgi.Request():
+                self.handle_get(message)
+            case fastcgi.RequestAborted(id=id):
+                if (open_get := self.open_gets.pop(id, None)) is not None:
+                    open_get.client_left()
+                    self.decoder.release_id(id)
+                    self.send(fastcgi.end_request(id))
+            case fastcgi.ManagementReply(data=reply):
+                self.send(reply)
 
     def handle_get(self, get: fastcgi.Request) -> None:
         """Passes a received GET to the opener, with a function that sends its answer."""
@@ -119,6 +129,22 @@
         else:
             on_end()
 
+    def send(self, data: bytes) -> None:
+        if self.replies is not None:
+            self.replies.append(data)
+            return
+        super().send(data)
+
+    def send_replies(self) -> None:
+        """Sends the replies to a step of the input as one piece, which takes less memory than each alone."""
+        replies, self.replies = self.replies, None
+        if replies:
+            self.send(b"".join(replies))
+
+    def close(self, reason: str, flush: bool = False) -> None:
+        self.send_replies()
+        super().close(reason, flush)
+
     def handle_close(self) -> None:
         open_gets, self.open_gets = self.open_gets, {}
         for open_get in open_gets.values():
@@ -150,6 +176,7 @@
         self.max_clients, self.max_buffered_bytes = max_clients, max_buffered_bytes
         self.open_get, self.count = open_get, count
         self.request_memory = RequestMemory(max_request_bytes, max_clients)
+        self.scheduler = InputScheduler()
         self.clients: dict[Client, None] = {}  # removed on close
 
     async def listen(self, host: str, port: int) -> asyncio.Server:
--- a/damsonstream/transport/link.py
+++ b/damsonstream/transport/link.py
@@ -2,7 +2,8 @@
 
 Usage: a subclass overrides `handle_data()` and `handle_close()`, and calls `send()` and `close()`. It is an
 asyncio protocol rather than an anyio socket stream, because the latter costs a checkpoint and two changes of
-the poll set for each read (docs/design.md has the figures).
+the poll set for each read (docs/design.md has the figures). It is a buffered one, as that limits how much is
+read at a time.
 """
 
 from __future__ import annotations
@@ -13,12 +14,16 @@
 from typing import cast
 
 log = logging.getLogger(__name__)
+READ_BYTES = 1 << 16  # at a time
 Command = tuple[bytes, ...]  # what is sent as a whole, in pieces so that nothing large is copied
 
 
-class TcpConnection(asyncio.Protocol):
+class TcpConnection(asyncio.BufferedProtocol):
     """One TCP connection. Data sent before it is established is queued."""
 
+    # shared by all connections: what is read is processed or copied before the next read
+    read_buffer = memoryview(bytearray(READ_BYTES))
+
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.reason = ""  # reason code of the close; empty while the connection is usable
@@ -42,14 +47,21 @@
             self.transport.writelines([piece for command in self.queue for piece in command])
             self.queue.clear()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         if self.reason:
             return
         try:
-            self.handle_data(data)
+            self.handle_data(bytes(self.read_buffer[:nbytes]))
         except Exception:
-            log.exception("connection")
-            self.close("fault")
+            self.fail()
+
+    def fail(self) -> None:
+        """Closes the connection after an unexpected exception, which is being handled."""
+        log.exception("connection")
+        self.close("fault")
 
     def eof_received(self) -> bool:
         self.close("closed")
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -256,6 +256,84 @@
         self.assertEqual(b"".join(pieces), resp.array(b"REQ", b"9b", b"kind=tiles,ms=1", MAX_BODY))
 
 
+class Work(FloodCase):
+    """Against the failure in which input without end kept a gateway from all other clients for seconds."""
+
+    def flood(self, kind: str) -> None:
+        """Floods a gateway from some clients; the GETs of another are answered in time."""
+
+        async def scenario(group: TaskGroup) -> None:
+            async with run_gateway(group) as gateway:
+                address = f"{gateway.address[0]}:{gateway.address[1]}"
+                command = [sys.executable, "-m", "tests.flood", kind, address, str(FLOOD_S)]
+                floods = [subprocess.Popen(command, cwd=ROOT) for _ in range(FLOODS)]
+                try:
+                    latencies = await measure_answers(gateway, 500, FLOOD_S + 0.5)
+                    codes = [await anyio.to_thread.run_sync(flood.wait) for flood in floods]
+                finally:
+                    for flood in floods:
+                        flood.kill()
+                self.assertEqual(codes, [0] * FLOODS)
+                self.assertLess(max(latencies), 0.5 + LATE_S)
+
+        self.run_scenario(scenario)
+
+    def test_body_without_end(self) -> None:
+        self.flood("body")
+
+    def test_empty_records_without_end(self) -> None:
+        self.flood("empty")
+
+    def test_parameters_of_an_inactive_id(self) -> None:
+        self.flood("params")
+
+    def test_management_records_without_end(self) -> None:
+        self.flood("management")
+
+    def test_requests_over_the_open_ones(self) -> None:
+        self.flood("begin")
+
+    def test_unusable_requests(self) -> None:
+        self.flood("unusable")
+
+    def test_answers_that_nobody_asked_for(self) -> None:
+        """A cache sends answers without end; GETs, also those that were sent to it, are answered in time."""
+
+        async def scenario(group: TaskGroup) -> None:
+            port = config_document()["listen"].rpartition(":")[2]
+            address = f"127.0.0.1:{port}"
+            command = [sys.executable, "-m", "tests.flood", "answers", address, str(FLOOD_S + 5)]
+            flood = subprocess.Popen(command, cwd=ROOT)
+            try:
+                async with run_gateway(group, flooding_cache=address) as gateway:
+                    latencies = await measure_answers(gateway, 500, FLOOD_S)
+            finally:
+                flood.kill()
+                flood.wait()
+            self.assertLess(max(latencies), 0.5 + LATE_S)
+
+        self.run_scenario(scenario)
+
+    def test_input_without_effect_ends_its_connection(self) -> None:
+        decoder = fastcgi.Decoder()
+        decoder.feed(get_records(1, {"A": "1"}))
+        piece = fastcgi.record(fastcgi.STDIN, 1, b"endless ") * 100
+        with self.assertRaisesRegex(fastcgi.ProtocolError, "idle-input"):
+            for _ in range(100):
+                decoder.feed(piece)
+
+    def test_rest_of_refused_requests_is_ignored(self) -> None:
+        """All of a connection's requests over the open ones are refused, and the rest of each is skipped."""
+        decoder = fastcgi.Decoder()
+        for id in range(1, 33):
+            decoder.feed(fastcgi.record(fastcgi.BEGIN, id, BEGIN_CONTENT))
+        for id in range(33, 200):
+            messages = decoder.feed(get_records(id, {"A": "1"}, MAX_BODY))
+            reply = fastcgi.end_request(id, fastcgi.OVERLOADED)
+            self.assertEqual(messages, [fastcgi.ManagementReply(reply)])
+        self.assertEqual(decoder.refused, 167)
+
+
 class OneConnection(FloodCase):
     """Against the failures in which one request on a connection ended the others that were open on it."""
 
