A request that takes too long to come in is refused alone; it ended its connection's other GETs

Change: the decoder keeps when each request began. One that is late is refused (OVERLOADED, harmless) and its rest is skipped; the connection and all else on it go on. A connection is still closed if no GET has come over it in that time (silent), or if half a record is left on it while nothing else is open (half).

Measured: tests.test_floods.OneConnection.test_slow_request_is_refused_alone failed before (the connection ended under the open GET) and passes now.

--- a/damsonstream/protocol/fastcgi.py
+++ b/damsonstream/protocol/fastcgi.py
@@ -95,6 +95,7 @@
 
     id: int
     keep_connection: bool
+    began_at: float  # the time that `Decoder.feed()` was given
     params: bytearray = field(default_factory=bytearray)
     body: bytearray = field(default_factory=bytearray)
     fields: dict[bytes, bytes] | None = None
@@ -188,9 +189,9 @@
     def release_id(self, id: int) -> None:
         self.open_ids.discard(id)
 
-    def feed(self, data: bytes, max_records: int = UNLIMITED_RECORDS) -> list[Message]:
+    def feed(self, data: bytes, max_records: int = UNLIMITED_RECORDS, now: float = 0.0) -> list[Message]:
         """Decodes up to `max_records` records. What is left is kept, and `has_more` tells that a call without
-        data may decode more of it."""
+        data may decode more of it. `now` is the time at which GETs of this input begin."""
         if self.buffer:
             data = self.buffer + data
         messages: list[Message] = []
@@ -212,7 +213,7 @@
             if record.content_left or record.padding_left:
                 break
             self.record = None
-            message = self.end_record(record)
+            message = self.end_record(record, now)
             if message is not None:
                 messages.append(message)
         else:
@@ -259,14 +260,14 @@
             offset += size
         return offset
 
-    def end_record(self, record: RecordInProgress) -> Message | None:
+    def end_record(self, record: RecordInProgress, now: float) -> Message | None:
         """Handles a record that has been received completely."""
         kind, id, partial = record.kind, record.id, record.partial
         if id == 0:
             self.count_idle_input(record.size)
             return self.handle_management(kind, record.stream)
         if kind == BEGIN:
-            return self.begin_request(id, bytes(record.stream or b""))
+            return self.begin_request(id, bytes(record.stream or b""), now)
         if kind == ABORT and id in self.partial_requests:
             self.drop(self.partial_requests[id])
             return ManagementReply(end_request(id))  # it was not received completely
@@ -290,13 +291,13 @@
         values = b"".join(pair(name, variables[name]) for name in asked if name in variables)
         return ManagementReply(record(GET_VALUES_RESULT, 0, values))
 
-    def begin_request(self, id: int, content: bytes) -> Message | None:
+    def begin_request(self, id: int, content: bytes, now: float) -> Message | None:
         if id in self.partial_requests or id in self.open_ids:  # its end would pass for that of the open GET
             raise ProtocolError("busy-id")
         if int.from_bytes(content[:2], "big") != RESPONDER:
             self.allow_idle_input(IDLE_INPUT_PER_REFUSED)
             return ManagementReply(end_request(id, UNKNOWN_ROLE))
-        partial = PartialRequest(id, bool(content[2] & KEEP_CONN))
+        partial = PartialRequest(id, bool(content[2] & KEEP_CONN), now)
         self.partial_requests[id] = partial
         if len(self.partial_requests) + len(self.open_ids) > MAX_OPEN_REQUESTS:
             self.refuse(partial)
@@ -335,6 +336,13 @@
         self.refused += 1
         self.drop(partial)
 
+    def refuse_begun_before(self, time: float) -> list[int]:
+        """Refuses the partly received GETs that began before a time, and returns their ids."""
+        late = [partial for partial in self.partial_requests.values() if partial.began_at < time]
+        for partial in late:
+            self.refuse(partial)
+        return [partial.id for partial in late]
+
     def drop(self, partial: PartialRequest) -> None:
         """Forgets a partly received GET and releases its memory."""
         del self.partial_requests[partial.id]
--- a/damsonstream/transport/front.py
+++ b/damsonstream/transport/front.py
@@ -65,8 +65,7 @@
         self.memory = ConnectionMemory(listener.request_memory)
         self.decoder = fastcgi.Decoder(self.memory)
         self.open_gets: dict[int, OpenGet] = {}  # by request id; removed on answer, abort and close
-        # when the GET that is partly received began, or the connection if it has sent none
-        self.incomplete_since = self.last_used
+        self.incomplete_since = self.last_used  # when the input that is incomplete began to come in
         self.replies: list[bytes] | None = None  # sent together after a step of the input
         self.close_after_answers = False  # the client asked for a close after the open answers
         self.gets = 0
@@ -78,11 +77,12 @@
         super().connection_made(transport)
 
     def process_input(self, data: bytes) -> bool:
+        now = time.monotonic()
         if self.gets and not self.decoder.incomplete:  # before this data
-            self.incomplete_since = time.monotonic()
+            self.incomplete_since = now
         self.replies = []
         try:
-            for message in self.decoder.feed(data, RECORDS_PER_STEP):
+            for message in self.decoder.feed(data, RECORDS_PER_STEP, now):
                 self.handle_message(message)
         except fastcgi.ProtocolError as error:
             self.close(str(error))
@@ -145,6 +145,25 @@
         self.send_replies()
         super().close(reason, flush)
 
+    def end_incomplete(self, deadline: float) -> None:
+        """Ends what is incomplete since before a deadline. A GET that is late is refused alone if others came
+        over the connection; otherwise the connection is closed."""
+        if not self.gets:
+            if self.incomplete_since < deadline:
+                self.close("silent")
+            return
+        late_ids = self.decoder.refuse_begun_before(deadline)
+        if late_ids:
+            self.incomplete_since = time.monotonic()
+            self.send(b"".join(fastcgi.end_request(id, fastcgi.OVERLOADED) for id in late_ids))
+        elif self.incomplete_since < deadline and self.decoder.incomplete and not self.is_in_use:
+            self.close("half")
+
+    @property
+    def is_in_use(self) -> bool:
+        """Whether a GET is open or being received, or an answer is unsent."""
+        return bool(self.open_gets or self.decoder.partial_requests or self.unsent_bytes)
+
     def handle_close(self) -> None:
         open_gets, self.open_gets = self.open_gets, {}
         for open_get in open_gets.values():
@@ -199,15 +218,12 @@
         self.clients[client] = None
 
     async def sweep(self) -> None:
-        """Closes connections that exceed `REQUEST_TIMEOUT_S`. Never returns."""
+        """Ends what exceeds `REQUEST_TIMEOUT_S`. Never returns."""
         while True:
             await anyio.sleep(SWEEP_INTERVAL_S)
             deadline = time.monotonic() - REQUEST_TIMEOUT_S
-            for client in [c for c in self.clients if c.incomplete_since < deadline and not c.reason]:
-                if not client.gets:
-                    client.close("silent")
-                elif client.decoder.incomplete:
-                    client.close("half")
+            for client in [c for c in self.clients if not c.reason]:
+                client.end_incomplete(deadline)
 
     def remove(self, client: Client) -> None:
         self.clients.pop(client, None)
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -17,7 +17,7 @@
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from struct import pack
-from unittest import TestCase
+from unittest import TestCase, mock
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
@@ -25,7 +25,7 @@
 from damsonstream.protocol import fastcgi, resp
 from damsonstream.transport.memory import ConnectionMemory, RequestMemory
 from tests.helpers import StandIn, get_records
-from tests.test_gateway import GatewayHarness, LoopbackFixture, config_document, read_answers
+from tests.test_gateway import GatewayHarness, LoopbackFixture, config_document, pad_ident, read_answers
 
 ROOT = Path(__file__).resolve().parent.parent
 MAX_BODY = bytes(48_000)
@@ -362,3 +362,27 @@
             self.assertEqual((memory.used, memory.shared_used), (0, 0))
 
         self.run_scenario(scenario)
+
+    def test_slow_request_is_refused_alone(self) -> None:
+        """A request takes too long to come in, while a GET is open on its connection. The request is refused,
+        the rest of it is skipped, and the GET and later ones are answered."""
+
+        async def scenario(group: TaskGroup) -> None:
+            fixture = LoopbackFixture()
+            await fixture.start(group)
+            client = await fixture.client()
+            await client.send(get_records(1, get_fields("a0")))
+            await fixture.cache.wait_until(lambda: len(fixture.cache.commands) == 1)
+            slow = get_records(2, get_fields("b0"), MAX_BODY)
+            await client.send(slow[:20_000])
+            self.assertEqual(await read_answers(client, 1), ["  id 2: [] b'' end 2"])
+            await client.send(slow[20_000:] + get_records(3, get_fields("c0")))
+            await fixture.cache.wait_until(lambda: len(fixture.cache.commands) == 2)
+            for ident in ("a0", "c0"):
+                await fixture.cache.streams[-1].send(resp.array(pad_ident(ident), b"served", b"-", b"a"))
+            lines = await read_answers(client, 2)
+            self.assertEqual(sum("200 OK" in line for line in lines), 2, lines)
+            self.assertEqual(fixture.server.listener.request_memory.used, 0)
+
+        with mock.patch("damsonstream.transport.front.REQUEST_TIMEOUT_S", 0.3):
+            self.run_scenario(scenario)
