All unsent answers count against their limit; small ones of many clients did not

What callers would see: 200 clients that ask without reading took a gateway of 80 MB to 81 MB with objects of 240,000 bytes, and to 69 MB with objects of 100 bytes (probes on the earlier text, base 16 MB): close to a kill.

Cause: only connections with more than 256 KB unsent were added up, and only when one of them got an answer; replies to management records were never looked at. Above the limit the largest was closed first, which may be a client that reads and has much on its way at the moment.

Change: all unsent data is added up each time a sixteenth of the limit has been sent, by whatever kind of message. Above it, connections with more than an equal part are closed, first the one whose client has not read everything for longest.

--- a/damsonstream/transport/front.py
+++ b/damsonstream/transport/front.py
@@ -4,7 +4,7 @@
 called for each GET and returns an object whose `client_left()` is called if the client disconnects or aborts.
 The memory of the GETs is limited and shared among the connections; a GET without room is refused. Answers are
 buffered per connection, so that a slow client does not block others. The total size of the buffers is
-limited: above it, the connections with the most unsent data are closed.
+limited: above it, connections whose clients have not kept up for longest are closed.
 """
 
 from __future__ import annotations
@@ -24,8 +24,7 @@
 log = logging.getLogger(__name__)
 READ_BYTES = 1 << 14  # at a time from one connection; what is not decoded at once is kept until it is
 RECORDS_PER_STEP = 4  # decoded before the time used is looked at: a small GET
-# Connections with more unsent data count against the memory limit. It is more than one object.
-SLOW_CLIENT_BYTES = 1 << 18
+BUFFER_CHECKS = 16  # the total of unsent data is computed each time this part of the limit has been sent
 # Time limit for the first GET on a connection, and for receiving a whole GET: clients that send nothing or
 # stop half way have to be disconnected within 3 s. Web servers send a GET at once.
 REQUEST_TIMEOUT_S = 2.4
@@ -66,6 +65,7 @@
         self.decoder = fastcgi.Decoder(self.memory)
         self.open_gets: dict[int, OpenGet] = {}  # by request id; removed on answer, abort and close
         self.incomplete_since = self.last_used  # when the input that is incomplete began to come in
+        self.unsent_since = 0.0  # when data was sent last while none was unsent
         self.replies: list[bytes] | None = None  # sent together after a step of the input
         self.close_after_answers = False  # the client asked for a close after the open answers
         self.gets = 0
@@ -116,8 +116,6 @@
             self.send(data)
             if self.close_after_answers and not self.open_gets:
                 self.close("asked", flush=True)
-            elif self.unsent_bytes > SLOW_CLIENT_BYTES:
-                self.listener.limit_buffers()
 
         def on_end() -> None:
             memory.release(reserved_bytes)
@@ -133,7 +131,10 @@
         if self.replies is not None:
             self.replies.append(data)
             return
+        if not self.unsent_bytes:
+            self.unsent_since = time.monotonic()
         super().send(data)
+        self.listener.count_sent(len(data))
 
     def send_replies(self) -> None:
         """Sends the replies to a step of the input as one piece, which takes less memory than each alone."""
@@ -188,15 +189,16 @@
         self,
         max_clients: int,
         max_request_bytes: int,
-        max_buffered_bytes: int,
+        max_unsent_bytes: int,
         open_get: GetOpener,
         count: Callable[[str], None],
     ) -> None:
-        self.max_clients, self.max_buffered_bytes = max_clients, max_buffered_bytes
+        self.max_clients, self.max_unsent_bytes = max_clients, max_unsent_bytes
         self.open_get, self.count = open_get, count
         self.request_memory = RequestMemory(max_request_bytes, max_clients)
         self.scheduler = InputScheduler()
         self.clients: dict[Client, None] = {}  # removed on close
+        self.unchecked_bytes = 0  # sent since the unsent data was last limited
 
     async def listen(self, host: str, port: int) -> asyncio.Server:
         return await asyncio.get_running_loop().create_server(lambda: Client(self), host, port, backlog=1024)
@@ -229,15 +231,23 @@
         self.clients.pop(client, None)
         self.count(f"client.{client.reason}")
 
-    def limit_buffers(self) -> None:
-        """Closes the connections with the most unsent data until the total is within the memory limit."""
-        slow_clients = sorted(
-            (c for c in self.clients if c.unsent_bytes > SLOW_CLIENT_BYTES and not c.reason),
-            key=lambda c: -c.unsent_bytes,
-        )
-        total_bytes = sum(client.unsent_bytes for client in slow_clients)
-        for client in slow_clients:
-            if total_bytes <= self.max_buffered_bytes:
+    def count_sent(self, size: int) -> None:
+        self.unchecked_bytes += size
+        if self.unchecked_bytes > self.max_unsent_bytes // BUFFER_CHECKS:
+            self.unchecked_bytes = 0
+            self.limit_unsent()
+
+    def limit_unsent(self) -> None:
+        """Closes connections until the unsent data of all is within its limit: of those that hold more than
+        an equal part, first the one whose client has not read everything for longest."""
+        unsent = {c: c.unsent_bytes for c in self.clients if not c.reason and c.unsent_bytes}
+        total = sum(unsent.values())
+        if total <= self.max_unsent_bytes:
+            return
+        equal_part = self.max_unsent_bytes // len(unsent)
+        large = [client for client, size in unsent.items() if size > equal_part]
+        for client in sorted(large, key=lambda c: c.unsent_since):
+            if total <= self.max_unsent_bytes:
                 break
-            total_bytes -= client.unsent_bytes
+            total -= unsent[client]
             client.close("slow")
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -23,6 +23,7 @@
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 
 from damsonstream.protocol import fastcgi, resp
+from damsonstream.transport.front import ClientListener
 from damsonstream.transport.memory import ConnectionMemory, RequestMemory
 from tests.helpers import StandIn, get_records
 from tests.test_gateway import GatewayHarness, LoopbackFixture, config_document, pad_ident, read_answers
@@ -256,6 +257,31 @@
         self.assertEqual(b"".join(pieces), resp.array(b"REQ", b"9b", b"kind=tiles,ms=1", MAX_BODY))
 
 
+class FakeClient:
+    """A client connection with unsent data."""
+
+    def __init__(self, unsent_bytes: int, unsent_since: float) -> None:
+        self.unsent_bytes, self.unsent_since, self.reason = unsent_bytes, unsent_since, ""
+
+    def close(self, reason: str) -> None:
+        self.reason = reason
+
+
+class Unsent(TestCase):
+    def test_answers_that_many_clients_do_not_read(self) -> None:
+        """Answers that clients leave unread are limited in total, also if each leaves little. A client that
+        reads is not closed for them, even if most is on its way to it at the moment."""
+        listener = ClientListener(200, 1, 10_000_000, lambda *_: None, lambda _: None)
+        silent = [FakeClient(200_000, 1.0 + n) for n in range(60)]
+        slow, reading = FakeClient(100_000, 0.5), FakeClient(3_000_000, 100.0)
+        listener.clients = dict.fromkeys((slow, reading, *silent))  # type: ignore[arg-type]
+        listener.count_sent(10_000_000)
+        left = sum(client.unsent_bytes for client in (slow, reading, *silent) if not client.reason)
+        self.assertLessEqual(left, 10_000_000)
+        self.assertEqual((slow.reason, reading.reason), ("", ""))
+        self.assertEqual([client.reason for client in silent][-10:], [""] * 10)
+
+
 class Work(FloodCase):
     """Against the failure in which input without end kept a gateway from all other clients for seconds."""
 
