--- a/damsonstream/protocol/fastcgi.py
+++ b/damsonstream/protocol/fastcgi.py
@@ -27,6 +27,7 @@
 BEGIN_CONTENT_BYTES = 8  # of a BEGIN_REQUEST record
 # Memory of a request besides its body: its task, its forwards, and what the router knows of it.
 REQUEST_OVERHEAD_BYTES = 6_144
+MAX_REQUEST_MEMORY = REQUEST_OVERHEAD_BYTES + MAX_PARAMS_BYTES + MAX_BODY_BYTES
 FIELD_BYTES = 256  # memory of one decoded parameter besides its text: two objects and an entry of a table
 # Input without effect is limited: records of inactive ids, which the specification requires to be ignored,
 # and management records. It is counted in bytes of content, an empty record as one byte. A GET that is
--- a/damsonstream/transport/front.py
+++ b/damsonstream/transport/front.py
@@ -22,7 +22,6 @@
 from damsonstream.transport.scheduling import InputScheduler, ScheduledConnection
 
 log = logging.getLogger(__name__)
-READ_BYTES = 1 << 14  # at a time from one connection; what is not decoded at once is kept until it is
 RECORDS_PER_STEP = 4  # decoded before the time used is looked at: a small GET
 BUFFER_CHECKS = 16  # the total of unsent data is computed each time this part of the limit has been sent
 # Time limit for the first GET on a connection, and for receiving a whole GET: clients that send nothing or
@@ -56,8 +55,6 @@
 class Client(ScheduledConnection):
     """One client's connection."""
 
-    read_buffer = memoryview(bytearray(READ_BYTES))
-
     def __init__(self, listener: ClientListener) -> None:
         super().__init__(listener.scheduler)
         self.listener = listener
@@ -195,7 +192,7 @@
     ) -> None:
         self.max_clients, self.max_unsent_bytes = max_clients, max_unsent_bytes
         self.open_get, self.count = open_get, count
-        self.request_memory = RequestMemory(max_request_bytes, max_clients)
+        self.request_memory = RequestMemory(max_request_bytes, max_clients, fastcgi.MAX_REQUEST_MEMORY)
         self.scheduler = InputScheduler()
         self.clients: dict[Client, None] = {}  # removed on close
         self.unchecked_bytes = 0  # sent since the unsent data was last limited
--- a/damsonstream/transport/link.py
+++ b/damsonstream/transport/link.py
@@ -14,7 +14,7 @@
 from typing import cast
 
 log = logging.getLogger(__name__)
-READ_BYTES = 1 << 15  # at a time
+READ_BYTES = 1 << 14  # at a time from one connection; what is not processed at once is kept until it is
 Command = tuple[bytes, ...]  # what is sent as a whole, in pieces so that nothing large is copied
 
 
--- a/damsonstream/transport/memory.py
+++ b/damsonstream/transport/memory.py
@@ -1,25 +1,29 @@
 """Memory of the requests that clients send, shared among their connections.
 
-Usage: `RequestMemory(limit, connections)` once, and `ConnectionMemory(memory)` for each connection, which
-reserves and releases bytes. A connection that uses little always gets memory, however much the others use:
-
-- Half of the limit is guaranteed: each connection may use an equal part of it.
-- The other half is shared. Of it a connection may use up to `SHARE_OF_FREE` times what stays free, so that
-  the part of each falls as more connections use it, and some of it always stays free for others.
+Usage: `RequestMemory(limit, connections, largest_request)` once, and `ConnectionMemory(memory)` for each
+connection, which reserves and releases bytes. A connection that uses little always gets memory, however much
+the others use:
+
+- Each connection is guaranteed the memory of one request of the largest size, or an equal part of
+  `GUARANTEED_SHARE` of the limit if that is less.
+- The rest is shared. Of it a connection may use up to `SHARE_OF_FREE` times what stays free, so that the part
+  of each falls as more connections use it, and some of it always stays free for others.
 """
 
 from __future__ import annotations
 
+GUARANTEED_SHARE = 3 / 4
 SHARE_OF_FREE = 2
 
 
 class RequestMemory:
     """The memory of all requests of a gateway, in bytes."""
 
-    def __init__(self, limit: int, max_connections: int) -> None:
+    def __init__(self, limit: int, max_connections: int, largest_request: int) -> None:
         self.limit = limit
-        self.shared_limit = limit // 2
-        self.guaranteed = (limit - self.shared_limit) // max_connections  # for each connection
+        # for each connection
+        self.guaranteed = min(largest_request, int(limit * GUARANTEED_SHARE) // max_connections)
+        self.shared_limit = limit - self.guaranteed * max_connections
         self.used = 0  # also by requests whose connection has been closed
         self.shared_used = 0
 
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -198,14 +198,14 @@
     def test_share_of_one_connection(self) -> None:
         """A connection gets the memory of its open requests while few use any, its guaranteed part always,
         and all together never exceed the limit."""
-        memory = RequestMemory(20_000_000, 202)
+        memory = RequestMemory(20_000_000, 202, fastcgi.MAX_REQUEST_MEMORY)
         heavy = [ConnectionMemory(memory) for _ in range(150)]
-        self.assertTrue(all(heavy[0].reserve(48_000 + fastcgi.REQUEST_OVERHEAD_BYTES) for _ in range(32)))
+        self.assertTrue(all(heavy[0].reserve(fastcgi.REQUEST_OVERHEAD_BYTES + 48_000) for _ in range(32)))
         for connection in heavy:
             while connection.reserve(1_000):
                 pass
         light = [ConnectionMemory(memory) for _ in range(52)]
-        self.assertTrue(all(connection.reserve(48_000) for connection in light))
+        self.assertTrue(all(connection.reserve(fastcgi.MAX_REQUEST_MEMORY) for connection in light))
         self.assertLessEqual(memory.used, memory.limit)
         for connection in (*heavy, *light):
             connection.release(connection.used)
@@ -213,7 +213,7 @@
 
     def test_decoded_parameters_are_counted(self) -> None:
         """Parameters of two bytes each take many times the memory of their text."""
-        memory = RequestMemory(1_000_000, 1)
+        memory = RequestMemory(1_000_000, 1, fastcgi.MAX_REQUEST_MEMORY)
         decoder = fastcgi.Decoder(ConnectionMemory(memory))
         pairs = b"".join(fastcgi.pair(pack(">H", n), b"") for n in range(4_000))
         tracemalloc.start()
