--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -151,49 +151,45 @@
             send_answer(self.encode_final(id, final))
 
         try:
-            name = path.removeprefix(SERVICE_PREFIX)
-            ident, object_id = fields[b"HTTP_X_TXN"], fields[b"HTTP_X_ROW"]
-            token = fields.get(b"HTTP_X_TXN_KEY", b"")
-            segment, time_left_ms = fields.get(b"HTTP_X_SLICE", b"0"), parse_uint(fields[b"HTTP_X_TTL_MS"])
-            group = parse_uint(fields[b"HTTP_X_SET"])
-            service = self.services[name]
-            settings = self.config.footprint.services[service]
-            if (
-                not (ID_PATTERN.fullmatch(ident) and ID_PATTERN.fullmatch(object_id))
-                or ident in self.get_tasks.open_ids
-            ):
-                raise ValueError  # a second GET with an open id would be confused with the first
-            if (
-                parse_uint(segment) > MAX_SEGMENT
-                or not 0 < time_left_ms * TICKS_PER_MS <= settings.viewer_timeout
-                or group > MAX_GROUP
-            ):
-                raise ValueError
-            if not TOKEN_PATTERN.fullmatch(token) if settings.idempotency == "tokened" else token:
-                raise ValueError
+            get = self.read_get(request)
         except (KeyError, ValueError):
             self.counters.add("unusable")
             self.record_rejection(fields, "errored", "unusable")
             finish(life.FinalAnswer("errored"))
             return None
+        get.on_end = on_end
+        self.get_tasks.start(get, finish)
+        return get
+
+    def read_get(self, request: fastcgi.Request) -> life.Get:
+        """Returns the GET that a request asks for; raises KeyError or ValueError if a field is missing or has
+        a value that must not be forwarded."""
+        fields = request.fields
+        name = fields[b"SCRIPT_NAME"].removeprefix(SERVICE_PREFIX)
+        service = self.services[name]
+        settings = self.config.footprint.services[service]
+        ident, object_id = fields[b"HTTP_X_TXN"], fields[b"HTTP_X_ROW"]
+        if not (ID_PATTERN.fullmatch(ident) and ID_PATTERN.fullmatch(object_id)):
+            raise ValueError
+        if ident in self.get_tasks.open_ids:  # a second GET with an open id would be confused with the first
+            raise ValueError
+        segment, group = fields.get(b"HTTP_X_SLICE", b"0"), parse_uint(fields[b"HTTP_X_SET"])
+        if parse_uint(segment) > MAX_SEGMENT or group > MAX_GROUP:
+            raise ValueError
+        time_left_ms = parse_uint(fields[b"HTTP_X_TTL_MS"])
+        if not 0 < time_left_ms * TICKS_PER_MS <= settings.viewer_timeout:
+            raise ValueError
+        token = fields.get(b"HTTP_X_TXN_KEY", b"")
+        if not TOKEN_PATTERN.fullmatch(token) if settings.idempotency == "tokened" else token:
+            raise ValueError
         version = fields.get(b"HTTP_X_SEEN", b"").removeprefix(b"W/").strip(b'"')
-        forward_fields = resp.forward_fields(
-            name, object_id, segment, token, version if is_field_value(version) else b""
-        )
+        if not is_field_value(version):
+            version = b""
         is_retry = fields.get(b"HTTP_X_SECOND_TRY", b"") == b"1"
-        get = life.Get(
-            ident,
-            service,
-            object_id.decode(),
-            group,
-            time_left_ms,
-            is_retry,
-            forward_fields,
-            request.body,
-            on_end=on_end,
+        forward_fields = resp.forward_fields(name, object_id, segment, token, version)
+        return life.Get(
+            ident, service, object_id.decode(), group, time_left_ms, is_retry, forward_fields, request.body
         )
-        self.get_tasks.start(get, finish)
-        return get
 
     def record_rejection(self, fields: dict[bytes, bytes], outcome: str, reason: str) -> None:
         if self.recorder is not None:
