--- a/damsonstream/transport/front.py
+++ b/damsonstream/transport/front.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import logging
+import socket
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -28,6 +29,7 @@
 # stop half way have to be disconnected within 3 s. Web servers send a GET at once.
 REQUEST_TIMEOUT_S = 2.4
 SWEEP_INTERVAL_S = 0.3  # between checks of that limit
+LISTEN_BACKLOG = 1024  # connections
 
 
 class OpenGet(Protocol):
@@ -198,7 +200,12 @@
         self.unchecked_bytes = 0  # sent since the unsent data was last limited
 
     async def listen(self, host: str, port: int) -> asyncio.Server:
-        return await asyncio.get_running_loop().create_server(lambda: Client(self), host, port, backlog=1024)
+        """Listens on an address. The socket is made here, as the event loop would start threads to resolve
+        the host."""
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listening = socket.create_server((host, port), family=family, backlog=LISTEN_BACKLOG)
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(lambda: Client(self), sock=listening, backlog=LISTEN_BACKLOG)
 
     @property
     def open_count(self) -> int:
