Forwards that wait for a connection are taken back when their cache begins to leave

Cause of one way to it, found by reading in the review: a forward waits in its connection's queue while that is established, up to 400 ms there, and was not looked at again when the list said that the cache leaves.

Change: when the list says that a cache drains, is gone or has restarted, what waits for its connections ends as unsent, which promises that it never ran, and the router chooses again.

Measured: tests.test_gateway.CachePools.test_forward_to_a_leaving_cache_is_not_sent_after_connect fails before ([] for ['unsent']) and passes now.

--- a/damsonstream/transport/caches.py
+++ b/damsonstream/transport/caches.py
@@ -113,6 +113,15 @@
         self.mark_finished(forward.ident)
         self.send(resp.stop(forward.ident))
 
+    def withdraw_queued(self) -> None:
+        """Ends the forwards that wait for the connection to be established as `unsent`."""
+        if self.transport is not None:
+            return
+        withdrawn, self.pending = list(self.pending.values()), {}
+        self.queue.clear()
+        for forward in withdrawn:
+            forward.on_result(resp.Lost("unsent"))
+
     def mark_finished(self, ident: bytes) -> None:
         self.finished[ident] = None
         if len(self.finished) > MAX_FINISHED_IDENTS:
@@ -204,6 +213,8 @@
                 self.retire(self.pools.pop(name), "gone")
         for entry in event.entries:
             pool = self.pools.get(entry.cache)
+            if pool is not None and entry.state == "leaving":
+                self.withdraw_queued(pool)
             if entry.state == "left":
                 if pool is not None:
                     self.retire(self.pools.pop(entry.cache), "gone")
@@ -213,9 +224,16 @@
                 self.retire(pool, "restarted")  # its connections lead to the previous process
                 self.pools[entry.cache] = Pool(entry.cache, entry.address, entry.started_ms)
 
+    def withdraw_queued(self, pool: Pool) -> None:
+        """Takes back the forwards that have not been sent, as their connections may be established only after
+        the grace period of a cache that leaves. The router chooses again for them."""
+        for connection in list(pool.connections):
+            connection.withdraw_queued()
+
     def retire(self, pool: Pool, reason: str) -> None:
         """Stops new forwards on a pool. Connections are closed at once if idle or if the cache has
         restarted."""
+        self.withdraw_queued(pool)
         for connection in list(pool.connections):
             connection.retire_reason = reason
             if reason == "restarted" or not connection.pending:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -544,6 +544,46 @@
         anyio.run(run)
         self.assertEqual(ended, [])  # no callbacks for canceled forwards
 
+    def test_forward_to_a_leaving_cache_is_not_sent_after_connect(self) -> None:
+        """A cache starts to drain while a connection to it is being established. What waits for the
+        connection could be sent after the grace period: it is taken back, for the router to choose again."""
+        ended = list[str]()
+
+        def on_result(result: life.ForwardEnd) -> None:
+            ended.append(result.result)
+
+        async def run() -> None:
+            stand_in, may_connect = StandIn(), anyio.Event()
+            caches = CacheConnections(100, 32, 1.0, 10.0, lambda name: None)
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+            run_connection = caches.run_connection
+
+            async def connects_late(connection: Connection) -> None:
+                await may_connect.wait()
+                await run_connection(connection)
+
+            caches.run_connection = connects_late  # type: ignore[method-assign]
+            async with anyio.create_task_group() as group:
+                group.start_soon(listener.serve, stand_in.cache)
+                group.start_soon(caches.run)
+                await anyio.sleep(0.01)
+                for state in ("active", "leaving"):
+                    line = bulletin.Listed("c1", address, "shop", state, 1.0, 0, "box", 0)
+                    caches.update_list(bulletin.ListChanged(False, (line,)))
+                    if state == "active":
+                        caches.send("c1", b"a", (resp.array(b"REQ", b"a", b"-", b""),), on_result)
+                self.assertEqual(ended, ["unsent"])
+                may_connect.set()
+                caches.send("c1", b"b", (resp.array(b"REQ", b"b", b"-", b""),), on_result)
+                with anyio.fail_after(5.0):
+                    await stand_in.wait_until(lambda: len(stand_in.commands) >= 1)
+                await anyio.sleep(0.05)
+                self.assertEqual([command[1] for command in stand_in.commands], [b"b"])
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+
     def test_removed_and_misbehaving_caches(self) -> None:
         logging.disable(logging.CRITICAL)
         self.addCleanup(logging.disable, logging.NOTSET)
