Whole requests before a bad record give their memory back; the end of a request needs none

(1) A bad record raises and drops the messages of its step. (2) An empty record reserves nothing, but was refused where others had taken what is shared meanwhile, so that a request could be refused at its very end.

Change: the decoder releases what it drops; memory that adds nothing to the shared part is not measured against it.

--- a/damsonstream/protocol/fastcgi.py
+++ b/damsonstream/protocol/fastcgi.py
@@ -193,9 +193,18 @@
     def feed(self, data: bytes, max_records: int = UNLIMITED_RECORDS, now: float = 0.0) -> list[Message]:
         """Decodes up to `max_records` records. What is left is kept, and `has_more` tells that a call without
         data may decode more of it. `now` is the time at which GETs of this input begin."""
-        if self.buffer:
-            data = self.buffer + data
         messages: list[Message] = []
+        try:
+            self.decode_records(self.buffer + data, max_records, now, messages)
+        except ProtocolError:
+            for message in messages:  # nobody gets them, as the connection ends
+                if isinstance(message, Request):
+                    self.budget.release(message.reserved_bytes)
+            raise
+        return messages
+
+    def decode_records(self, data: bytes, max_records: int, now: float, messages: list[Message]) -> None:
+        """Decodes up to `max_records` records and appends the messages that they complete."""
         offset, end = 0, len(data)
         self.has_more = False
         for _ in range(max_records):
@@ -220,7 +229,6 @@
         else:
             self.has_more = offset < end
         self.buffer = data[offset:]
-        return messages
 
     def begin_record(self, record: RecordInProgress, messages: list[Message]) -> RecordInProgress:
         """Chooses the stream for the content of a record, and reserves its memory. A GET that there is no
--- a/damsonstream/transport/memory.py
+++ b/damsonstream/transport/memory.py
@@ -28,7 +28,7 @@
         self.shared_used = 0
 
     def shared_part(self, used: int) -> int:
-        """Returns how much of a connection's memory is taken from the shared half."""
+        """Returns how much of a connection's memory is taken from the shared part."""
         return max(0, used - self.guaranteed)
 
 
@@ -43,14 +43,14 @@
         """Reserves memory; returns False, and reserves nothing, if there is no room for this connection."""
         memory = self.memory
         shared = memory.shared_part(self.used + size)
-        shared_used = memory.shared_used + shared - memory.shared_part(self.used)
+        added = shared - memory.shared_part(self.used)
         if memory.used + size > memory.limit:
             return False
-        if shared and shared > SHARE_OF_FREE * (memory.shared_limit - shared_used):
+        if added and shared > SHARE_OF_FREE * (memory.shared_limit - memory.shared_used - added):
             return False
         self.used += size
         memory.used += size
-        memory.shared_used = shared_used
+        memory.shared_used += added
         return True
 
     def release(self, size: int) -> None:
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -226,6 +226,32 @@
             tracemalloc.stop()
         self.assertLess(held, memory.limit)
 
+    def test_whole_requests_before_a_bad_record_are_released(self) -> None:
+        """A bad record ends the connection. Whole requests just before it hold no memory then."""
+        memory = RequestMemory(1_000_000, 1, fastcgi.MAX_REQUEST_MEMORY)
+        whole, bad = get_records(1, {"A": "1"}, MAX_BODY), bytes(8)
+        for size in range(1, 9):  # records of a step
+            decoder = fastcgi.Decoder(ConnectionMemory(memory))
+            with self.assertRaisesRegex(fastcgi.ProtocolError, "bad-record"):
+                data = whole + bad
+                while data or decoder.has_more:
+                    for message in decoder.feed(data, size):
+                        assert isinstance(message, fastcgi.Request)
+                        decoder.budget.release(message.reserved_bytes)
+                    data = b""
+            decoder.drop_all()
+            self.assertEqual((memory.used, memory.shared_used), (0, 0))
+
+    def test_end_of_a_request_needs_no_memory(self) -> None:
+        """Other connections take what is shared while a request comes in. Its end is taken all the same."""
+        memory = RequestMemory(1_000_000, 2, fastcgi.MAX_REQUEST_MEMORY)
+        first, second = ConnectionMemory(memory), ConnectionMemory(memory)
+        self.assertTrue(first.reserve(600_000))
+        while second.reserve(1_000):
+            pass
+        self.assertFalse(first.reserve(1))
+        self.assertTrue(first.reserve(0))
+
     def test_ended_get_is_released(self) -> None:
         """The tasks of GETs are reused; an idle one must not keep the body of its last GET."""
 
