One encoding of forwards, one way to stop reading, and what the transport already knows

Read once more, no behavior changes but the last: forwards with a body encoded their strings a second time beside array(); link.py had a second name for resp.Command; the scheduler kept whether reading is paused, and reset a connection's slice in two places; begin_record returned what it was given; releasing a GET's memory was a function of its own. A cache that leaves is one more case of the list's chain, not a test before it. A connection whose waiting forwards are taken back does not count as unresponsive for them.

--- a/damsonstream/protocol/fastcgi.py
+++ b/damsonstream/protocol/fastcgi.py
@@ -112,7 +112,7 @@
     size: int  # of the content
     content_left: int  # still to be received
     padding_left: int  # still to be received
-    stream: bytearray | None  # takes the content; None: it is skipped
+    stream: bytearray | None = None  # takes the content; None: it is skipped
     partial: PartialRequest | None = None  # the GET that the stream belongs to
 
 
@@ -215,9 +215,9 @@
                 if version != 1:
                     raise ProtocolError("bad-record")
                 offset += HEADER.size
-                self.record = self.begin_record(
-                    RecordInProgress(kind, id, size, size, padding, None), messages
-                )
+                self.record = RecordInProgress(kind, id, size, size, padding)
+                if not self.choose_stream(self.record):
+                    messages.append(ManagementReply(end_request(id, OVERLOADED)))
             record = self.record
             offset = self.receive_content(record, data, offset)
             if record.content_left or record.padding_left:
@@ -230,30 +230,34 @@
             self.has_more = offset < end
         self.buffer = data[offset:]
 
-    def begin_record(self, record: RecordInProgress, messages: list[Message]) -> RecordInProgress:
-        """Chooses the stream for the content of a record, and reserves its memory. A GET that there is no
-        memory for is refused."""
-        size = record.size
-        if record.kind == BEGIN and record.id:
+    def choose_stream(self, record: RecordInProgress) -> bool:
+        """Chooses the stream for the content of a record, and reserves its memory; returns False if there is
+        none, and the GET is refused."""
+        kind, size = record.kind, record.size
+        if kind == BEGIN and record.id:
             if size != BEGIN_CONTENT_BYTES:
                 raise ProtocolError("bad-record")
             record.stream = bytearray()
-        elif record.kind == GET_VALUES and not record.id:
+            return True
+        if kind == GET_VALUES and not record.id:
             if size > MAX_GET_VALUES_BYTES:
                 raise ProtocolError("oversize")
             record.stream = bytearray()
-        elif record.kind in (PARAMS, STDIN) and (partial := self.partial_requests.get(record.id)) is not None:
-            stream = partial.params if record.kind == PARAMS else partial.body
-            limit = MAX_PARAMS_BYTES if record.kind == PARAMS else MAX_BODY_BYTES
-            if record.kind == PARAMS and partial.fields is not None:
-                return record  # behind the end of the parameters
-            if len(stream) + size > limit:
-                raise ProtocolError("oversize")
-            if self.reserve(partial, size):
-                record.partial, record.stream = partial, stream
-            else:
-                messages.append(ManagementReply(end_request(record.id, OVERLOADED)))
-        return record
+            return True
+        partial = self.partial_requests.get(record.id)
+        if partial is None or kind not in (PARAMS, STDIN):
+            return True
+        if kind == PARAMS and partial.fields is not None:  # behind the end of the parameters
+            return True
+        stream, limit = (
+            (partial.params, MAX_PARAMS_BYTES) if kind == PARAMS else (partial.body, MAX_BODY_BYTES)
+        )
+        if len(stream) + size > limit:
+            raise ProtocolError("oversize")
+        if not self.reserve(partial, size):
+            return False
+        record.partial, record.stream = partial, stream
+        return True
 
     def receive_content(self, record: RecordInProgress, data: bytes, offset: int) -> int:
         """Takes or skips content and padding; returns the offset behind them."""
--- a/damsonstream/protocol/resp.py
+++ b/damsonstream/protocol/resp.py
@@ -67,8 +67,12 @@
     shared: bool = False  # lost together with another forward of its connection, whose result is not shared
 
 
+def strings(*parts: bytes) -> bytes:
+    return b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in parts)
+
+
 def array(*parts: bytes) -> bytes:
-    return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in parts)
+    return b"*%d\r\n" % len(parts) + strings(*parts)
 
 
 def forward(
@@ -101,11 +105,8 @@
     modes = [word for word, on in (("collapse", join), ("only-if-cached", copies), ("refresh", renew)) if on]
     if modes:
         text += f",handle={'+'.join(modes)}"
-    if not body:
-        return (array(b"REQ", ident, shared_fields + text.encode(), b""),)
-    fields = shared_fields + text.encode()
-    head = b"*4\r\n$3\r\nREQ\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n"
-    return head % (len(ident), ident, len(fields), fields, len(body)), body, b"\r\n"
+    head = b"*4\r\n" + strings(b"REQ", ident, shared_fields + text.encode()) + b"$%d\r\n" % len(body)
+    return (head, body, b"\r\n") if body else (head + b"\r\n",)
 
 
 def forward_fields(service: bytes, object_id: bytes, segment: bytes, token: bytes, version: bytes) -> bytes:
--- a/damsonstream/transport/caches.py
+++ b/damsonstream/transport/caches.py
@@ -98,7 +98,7 @@
         forward.connection = self
         self.pending[forward.ident] = forward
         self.forwards += 1
-        self.send_command(forward.command)
+        self.send_pieces(forward.command)
         if self.transport is not None:
             forward.command = ()
 
@@ -119,6 +119,7 @@
             return
         withdrawn, self.pending = list(self.pending.values()), {}
         self.queue.clear()
+        self.awaiting_since = 0.0
         for forward in withdrawn:
             forward.on_result(resp.Lost("unsent"))
 
@@ -213,8 +214,6 @@
                 self.retire(self.pools.pop(name), "gone")
         for entry in event.entries:
             pool = self.pools.get(entry.cache)
-            if pool is not None and entry.state == "leaving":
-                self.withdraw_queued(pool)
             if entry.state == "left":
                 if pool is not None:
                     self.retire(self.pools.pop(entry.cache), "gone")
@@ -223,6 +222,8 @@
             elif (pool.address, pool.started_ms) != (entry.address, entry.started_ms):
                 self.retire(pool, "restarted")  # its connections lead to the previous process
                 self.pools[entry.cache] = Pool(entry.cache, entry.address, entry.started_ms)
+            elif entry.state == "leaving":
+                self.withdraw_queued(pool)
 
     def withdraw_queued(self, pool: Pool) -> None:
         """Takes back the forwards that have not been sent, as their connections may be established only after
--- a/damsonstream/transport/front.py
+++ b/damsonstream/transport/front.py
@@ -14,6 +14,7 @@
 import socket
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 import anyio
@@ -105,7 +106,7 @@
         self.gets += 1
         self.last_used = self.incomplete_since = time.monotonic()
         self.close_after_answers |= not get.keep_connection
-        id, memory, reserved_bytes = get.id, self.memory, get.reserved_bytes
+        id, on_end = get.id, partial(self.memory.release, get.reserved_bytes)
 
         def answer(data: bytes) -> None:
             if self.open_gets.pop(id, None) is None:
@@ -116,9 +117,6 @@
             if self.close_after_answers and not self.open_gets:
                 self.close("asked", flush=True)
 
-        def on_end() -> None:
-            memory.release(reserved_bytes)
-
         self.open_gets[id] = NO_OPEN_GET
         open_get = self.listener.open_get(get, answer, on_end)
         if open_get is not None:
--- a/damsonstream/transport/link.py
+++ b/damsonstream/transport/link.py
@@ -15,7 +15,6 @@
 
 log = logging.getLogger(__name__)
 READ_BYTES = 1 << 14  # at a time from one connection; what is not processed at once is kept until it is
-Command = tuple[bytes, ...]  # what is sent as a whole, in pieces so that nothing large is copied
 
 
 class TcpConnection(asyncio.BufferedProtocol):
@@ -28,7 +27,9 @@
         self.transport: asyncio.Transport | None = None
         self.reason = ""  # reason code of the close; empty while the connection is usable
         self.last_used = time.monotonic()
-        self.queue: list[Command] = []  # data sent before it is established; the sender limits its size
+        self.queue: list[
+            tuple[bytes, ...]
+        ] = []  # data sent before it is established; the sender limits its size
 
     def handle_data(self, data: bytes) -> None:
         raise NotImplementedError
@@ -44,7 +45,7 @@
             return
         self.transport = established
         if self.queue:
-            self.transport.writelines([piece for command in self.queue for piece in command])
+            self.transport.writelines([piece for pieces in self.queue for piece in pieces])
             self.queue.clear()
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -72,13 +73,14 @@
         self.handle_close()
 
     def send(self, data: bytes) -> None:
-        self.send_command((data,))
+        self.send_pieces((data,))
 
-    def send_command(self, command: Command) -> None:
+    def send_pieces(self, pieces: tuple[bytes, ...]) -> None:
+        """Sends data in pieces, so that a large one need not be copied."""
         if self.transport is None:
-            self.queue.append(command)
+            self.queue.append(pieces)
         elif not self.reason:
-            self.transport.writelines(command)
+            self.transport.writelines(pieces)
 
     @property
     def unsent_bytes(self) -> int:
--- a/damsonstream/transport/scheduling.py
+++ b/damsonstream/transport/scheduling.py
@@ -57,21 +57,20 @@
         self.scheduler = scheduler
         self.turn = -1  # the last one in which input was processed
         self.slice_used = 0.0  # seconds, in that turn
-        self.is_reading_paused = False  # while it is queued by the scheduler
 
     def process_input(self, data: bytes) -> bool:
         """Processes a few messages of the input; returns whether a call without data may process more."""
         raise NotImplementedError
 
     def handle_data(self, data: bytes) -> None:
-        if self.turn != self.scheduler.turn:
-            self.turn, self.slice_used = self.scheduler.turn, 0.0
-            self.scheduler.schedule_turn()
+        self.scheduler.schedule_turn()
         if self.use_slice(data):
             self.pause_input()
 
     def use_slice(self, data: bytes) -> bool:
-        """Processes input until it or the slice is used up; returns whether to stop reading."""
+        """Processes input until it or the slice of this turn is used up; returns whether to stop reading."""
+        if self.turn != self.scheduler.turn:
+            self.turn, self.slice_used = self.scheduler.turn, 0.0
         used, started = self.slice_used, time.monotonic()
         has_more = self.process_input(data)
         self.slice_used = used + time.monotonic() - started
@@ -82,19 +81,14 @@
 
     def pause_input(self) -> None:
         """Stops reading, and queues the connection."""
-        if not self.is_active():
-            return
-        assert self.transport is not None
-        if not self.is_reading_paused:
-            self.is_reading_paused = True
-            self.transport.pause_reading()
-        self.scheduler.enqueue(self)
+        if (transport := self.usable_transport) is not None:
+            transport.pause_reading()
+            self.scheduler.enqueue(self)
 
     def continue_input(self) -> None:
         """Called by the scheduler: processes input for a slice, and reads on if none is left."""
-        if not self.is_active():
+        if self.usable_transport is None:
             return
-        self.turn, self.slice_used = self.scheduler.turn, 0.0
         try:
             has_more = self.use_slice(b"")
         except Exception:
@@ -102,10 +96,12 @@
             return
         if has_more:
             self.pause_input()
-        elif self.is_active():
-            assert self.transport is not None
-            self.is_reading_paused = False
-            self.transport.resume_reading()
-
-    def is_active(self) -> bool:
-        return not self.reason and self.transport is not None and not self.transport.is_closing()
+        elif (transport := self.usable_transport) is not None:
+            transport.resume_reading()
+
+    @property
+    def usable_transport(self) -> asyncio.Transport | None:
+        """The transport, or None if the connection is closed or closing."""
+        return (
+            None if self.reason or self.transport is None or self.transport.is_closing() else self.transport
+        )
