Tests share the fields of a GET, the event loop of a scenario, and connections that come up late

The two tests of late connections began alike, FloodCase ran scenarios as Loopback does, and both wrote the fields of a GET. Checks, bounds and limits of time are the same. Objects in the tests of floods no longer depend on hash(), which differs from run to run.

--- a/tests/flood.py
+++ b/tests/flood.py
@@ -11,13 +11,11 @@
 import sys
 import threading
 import time
-from struct import pack
 
 from damsonstream.protocol import fastcgi, resp
-from tests.helpers import get_records
+from tests.helpers import BEGIN_CONTENT, get_records
 
 REPEATS = 4096  # of a message in one piece
-BEGIN = pack(">HB5x", 1, 1)
 UNUSABLE = get_records(1, {"SCRIPT_NAME": "/v1/none"})
 # first what opens the flood, then what is repeated
 CLIENT_INPUT = {
@@ -26,8 +24,8 @@
     "params": (UNUSABLE, fastcgi.record(fastcgi.PARAMS, 7, b"endless ")),
     "management": (UNUSABLE, fastcgi.record(77, 0)),
     "begin": (
-        b"".join(fastcgi.record(fastcgi.BEGIN, id, BEGIN) for id in range(1, 33)),
-        fastcgi.record(fastcgi.BEGIN, 33, BEGIN),
+        b"".join(fastcgi.record(fastcgi.BEGIN, id, BEGIN_CONTENT) for id in range(1, 33)),
+        fastcgi.record(fastcgi.BEGIN, 33, BEGIN_CONTENT),
     ),
     "unusable": (b"", UNUSABLE),
 }
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,9 +5,10 @@
 from __future__ import annotations
 
 import difflib
+import logging
 import re
 import unittest
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
@@ -15,13 +16,14 @@
 from typing import Any
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import SocketStream, TaskGroup
 
 from damsonstream.protocol import fastcgi
 from damsonstream.routing import interface as i
 from damsonstream.routing.router import Router
 
 S = 10_000  # ticks of the router's clock per second
+BEGIN_CONTENT = pack(">HB5x", 1, 1)  # of a BEGIN_REQUEST record: role Responder, KEEP_CONN
 TILES = i.DeliveryService("tiles", 6000, 2.0, 60000, 2.0, 0.15, "idempotent", "all", 0, False, 0, 0, False)
 PAGES = replace(TILES, name="pages", objective=2500, viewer_timeout=25000, revenue=1.0, max_age=8 * S)
 ORDER = replace(
@@ -124,10 +126,35 @@
         self.assertFalse(difference, f"{name}: decisions changed\n{difference}")
 
 
+class ScenarioCase(TraceCase):
+    """Runs scenarios with sockets in an event loop of their own."""
+
+    LIMIT_S = 30
+
+    def run_scenario(self, scenario: Callable[[TaskGroup], Awaitable[None]]) -> None:
+        async def run() -> None:
+            with anyio.fail_after(self.LIMIT_S):
+                async with anyio.create_task_group() as group:
+                    await scenario(group)
+                    group.cancel_scope.cancel()
+
+        anyio.run(run, backend_options={"use_uvloop": True})
+
+    def disable_logging(self) -> None:
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+
+def get_fields(ident: str, **more: str) -> dict[str, str]:
+    """Returns the fields of a GET for tiles; those in `more` are added or replace one."""
+    defaults = {"SCRIPT_NAME": "/v1/tiles", "HTTP_X_TXN": ident.rjust(16, "0"), "HTTP_X_SET": "17"}
+    return {**defaults, "HTTP_X_ROW": "7f3a9c21e0b4d655", "HTTP_X_TTL_MS": "5000", **more}
+
+
 def get_records(id: int, fields: dict[str, str], body: bytes = b"") -> bytes:
     """Encodes a GET as a web server sends it."""
     pairs = b"".join(fastcgi.pair(name.encode(), value.encode()) for name, value in fields.items())
-    parts = (fastcgi.BEGIN, pack(">HB5x", 1, 1)), (fastcgi.PARAMS, pairs), (fastcgi.PARAMS, b"")
+    parts = (fastcgi.BEGIN, BEGIN_CONTENT), (fastcgi.PARAMS, pairs), (fastcgi.PARAMS, b"")
     stdin = ((fastcgi.STDIN, body), (fastcgi.STDIN, b"")) if body else ((fastcgi.STDIN, b""),)
     return b"".join(fastcgi.record(kind, id, content) for kind, content in (*parts, *stdin))
 
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -6,14 +6,13 @@
 
 import gc
 import json
-import logging
 import os
 import subprocess
 import sys
 import tempfile
 import time
 import tracemalloc
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from struct import pack
@@ -25,23 +24,20 @@
 from damsonstream.protocol import fastcgi, resp
 from damsonstream.transport.front import ClientListener
 from damsonstream.transport.memory import ConnectionMemory, RequestMemory
-from tests.helpers import StandIn, get_records
+from tests.helpers import BEGIN_CONTENT, ScenarioCase, StandIn, get_fields, get_records
 from tests.test_gateway import GatewayHarness, LoopbackFixture, config_document, pad_ident, read_answers
 
 ROOT = Path(__file__).resolve().parent.parent
 MAX_BODY = bytes(48_000)
-BEGIN_CONTENT = pack(">HB5x", 1, 1)
 MEMORY_MB, SOCKETS = 80, 608
 LATE_S = 0.5  # after the time of a GET: an answer that comes later counts as lost
 FLOODS = 4  # processes
 FLOOD_S = 2.0
 
 
-def get_fields(ident: str, ttl_ms: int = 5000) -> dict[str, str]:
-    return {
-        "SCRIPT_NAME": "/v1/tiles", "HTTP_X_TXN": ident.rjust(16, "0"), "HTTP_X_SET": "17",
-        "HTTP_X_ROW": f"{abs(hash(ident)) % 16**16:016x}", "HTTP_X_TTL_MS": str(ttl_ms),
-    }  # fmt: skip
+def get_own_fields(ident: str, **more: str) -> dict[str, str]:
+    """Returns the fields of a GET for an object that no other GET is for."""
+    return get_fields(ident, HTTP_X_ROW=ident.rjust(16, "0"), **more)
 
 
 class AnsweringCache(StandIn):
@@ -125,7 +121,7 @@
 
     async def send(number: int) -> None:
         started = time.monotonic()
-        await client.send(get_records(1, get_fields(f"{number:x}e0", ttl_ms)))
+        await client.send(get_records(1, get_own_fields(f"{number:x}e0", HTTP_X_TTL_MS=str(ttl_ms))))
         await read_answers(client, 1)
         latencies.append(time.monotonic() - started)
 
@@ -136,17 +132,11 @@
     return latencies
 
 
-class FloodCase(TestCase):
-    def run_scenario(self, scenario: Callable[[TaskGroup], Awaitable[None]]) -> None:
-        async def run() -> None:
-            with anyio.fail_after(60):
-                async with anyio.create_task_group() as group:
-                    await scenario(group)
-                    group.cancel_scope.cancel()
+class FloodCase(ScenarioCase):
+    LIMIT_S = 60
 
-        logging.disable(logging.CRITICAL)
-        self.addCleanup(logging.disable, logging.NOTSET)
-        anyio.run(run, backend_options={"use_uvloop": True})
+    def setUp(self) -> None:
+        self.disable_logging()
 
 
 class Memory(FloodCase):
@@ -162,7 +152,7 @@
 
                 async def flood(number: int) -> None:
                     client = await gateway.connect()
-                    fields = [get_fields(f"{number:x}a{n:02x}f", 2000) for n in range(32)]
+                    fields = [get_own_fields(f"{number:x}a{n:02x}f", HTTP_X_TTL_MS="2000") for n in range(32)]
                     batch = b"".join(get_records(n + 1, fields[n], MAX_BODY) for n in range(32))
                     async with anyio.create_task_group() as both:
                         both.start_soon(client.send, batch)
@@ -177,7 +167,7 @@
                 async def send_few() -> list[str]:
                     client, lines = await gateway.connect(), list[str]()
                     for number in range(20):
-                        records = get_records(1, get_fields(f"{number:x}0"), MAX_BODY)
+                        records = get_records(1, get_own_fields(f"{number:x}0"), MAX_BODY)
                         await client.send(records)
                         lines += await read_answers(client, 1)
                         await anyio.sleep(0.05)
@@ -398,8 +388,10 @@
             client = await fixture.client()
             sizes = (fastcgi.BEGIN, BEGIN_CONTENT), (fastcgi.PARAMS, None), (fastcgi.PARAMS, b"")
             body = [(fastcgi.STDIN, MAX_BODY[:12_000])] * 4 + [(fastcgi.STDIN, b"")]
-            parts = [b"".join(fastcgi.pair(n.encode(), v.encode()) for n, v in get_fields(f"{id:x}e").items())
-                     for id in range(1, 33)]  # fmt: skip
+            parts = list[bytes]()
+            for id in range(1, 33):
+                pairs = get_own_fields(f"{id:x}e").items()
+                parts.append(b"".join(fastcgi.pair(name.encode(), value.encode()) for name, value in pairs))
             for kind, content in (*sizes, *body):
                 for id, fields in enumerate(parts, 1):
                     await client.send(fastcgi.record(kind, id, fields if content is None else content))
@@ -423,12 +415,12 @@
             fixture = LoopbackFixture()
             await fixture.start(group)
             client = await fixture.client()
-            await client.send(get_records(1, get_fields("a0")))
+            await client.send(get_records(1, get_own_fields("a0")))
             await fixture.cache.wait_until(lambda: len(fixture.cache.commands) == 1)
-            slow = get_records(2, get_fields("b0"), MAX_BODY)
+            slow = get_records(2, get_own_fields("b0"), MAX_BODY)
             await client.send(slow[:20_000])
             self.assertEqual(await read_answers(client, 1), ["  id 2: [] b'' end 2"])
-            await client.send(slow[20_000:] + get_records(3, get_fields("c0")))
+            await client.send(slow[20_000:] + get_records(3, get_own_fields("c0")))
             await fixture.cache.wait_until(lambda: len(fixture.cache.commands) == 2)
             for ident in ("a0", "c0"):
                 await fixture.cache.streams[-1].send(resp.array(pad_ident(ident), b"served", b"-", b"a"))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -15,7 +15,6 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
-from struct import pack
 from typing import Any
 from unittest import mock
 
@@ -30,7 +29,18 @@
 from damsonstream.routing import life
 from damsonstream.routing.gateway import Clock, Gateway
 from damsonstream.transport.caches import CacheConnections, Connection
-from tests.helpers import FOOTPRINT, S, StandIn, TraceCase, entry, get_records, list_frame
+from tests.helpers import (
+    BEGIN_CONTENT,
+    FOOTPRINT,
+    S,
+    ScenarioCase,
+    StandIn,
+    TraceCase,
+    entry,
+    get_fields,
+    get_records,
+    list_frame,
+)
 
 ResultCallback = Callable[[life.ForwardEnd], None]
 
@@ -305,24 +315,7 @@
         return await anyio.connect_tcp(*self.server.config.listen)
 
 
-class Loopback(TraceCase):
-    def fields(self, ident: str, **more: str) -> dict[str, str]:
-        defaults = {"SCRIPT_NAME": "/v1/tiles", "HTTP_X_TXN": ident.rjust(16, "0"), "HTTP_X_SET": "17"}
-        return {**defaults, "HTTP_X_ROW": "7f3a9c21e0b4d655", "HTTP_X_TTL_MS": "5000", **more}
-
-    def run_scenario(self, scenario: Callable[[TaskGroup], Awaitable[None]]) -> None:
-        async def run() -> None:
-            with anyio.fail_after(30):
-                async with anyio.create_task_group() as group:
-                    await scenario(group)
-                    group.cancel_scope.cancel()
-
-        anyio.run(run, backend_options={"use_uvloop": True})
-
-    def disable_logging(self) -> None:
-        logging.disable(logging.CRITICAL)
-        self.addCleanup(logging.disable, logging.NOTSET)
-
+class Loopback(ScenarioCase):
     def test_reload_on_sighup(self) -> None:
         """SIGHUP applies a new bulletin address. An invalid file changes nothing, and the log says why."""
         with self.assertLogs("damsonstream.program.serve", "INFO") as logged:
@@ -375,24 +368,24 @@
     async def bad_clients(self, group: TaskGroup) -> None:
         fixture, lines = LoopbackFixture(), list[str]()
         await fixture.start(group)
-        good_client, complete = await fixture.client(), get_records(1, self.fields("a0"))
+        good_client, complete = await fixture.client(), get_records(1, get_fields("a0"))
         await good_client.send(complete)
         await fixture.cache.wait_until(lambda: len(fixture.cache.commands) == 1)
-        begin = fastcgi.record(fastcgi.BEGIN, 1, pack(">HB5x", 1, 1))
+        begin = fastcgi.record(fastcgi.BEGIN, 1, BEGIN_CONTENT)
         cases = {
             "sends nothing": b"", "stops half way through a GET": complete[:40],
             "truncated record": complete[:8] + complete,
-            "two GETs with one id": get_records(1, self.fields("b0"))[:-8] + begin,
+            "two GETs with one id": get_records(1, get_fields("b0"))[:-8] + begin,
             "parameters too long": begin + fastcgi.record(fastcgi.PARAMS, 1, bytes(9_000)) * 2,
-            "identifier of an open GET": get_records(1, self.fields("a0", HTTP_X_ROW="00" * 8)),
-            "no identifier": get_records(1, self.fields("c0", HTTP_X_TXN="")),
-            "no group": get_records(1, self.fields("c0", HTTP_X_SET="")),
-            "identifier that is not hexadecimal": get_records(1, self.fields("g" * 16)),
-            "time limit too long": get_records(1, self.fields("c0", HTTP_X_TTL_MS="9" * 9)),
-            "time limit that is no number": get_records(1, self.fields("c0", HTTP_X_TTL_MS="nan")),
-            "negative segment": get_records(1, self.fields("c0", HTTP_X_SLICE="-1")),
-            "group out of range": get_records(1, self.fields("c0", HTTP_X_SET="256")),
-            "unexpected token": get_records(1, self.fields("c0", HTTP_X_TXN_KEY="ab" * 16)),
+            "identifier of an open GET": get_records(1, get_fields("a0", HTTP_X_ROW="00" * 8)),
+            "no identifier": get_records(1, get_fields("c0", HTTP_X_TXN="")),
+            "no group": get_records(1, get_fields("c0", HTTP_X_SET="")),
+            "identifier that is not hexadecimal": get_records(1, get_fields("g" * 16)),
+            "time limit too long": get_records(1, get_fields("c0", HTTP_X_TTL_MS="9" * 9)),
+            "time limit that is no number": get_records(1, get_fields("c0", HTTP_X_TTL_MS="nan")),
+            "negative segment": get_records(1, get_fields("c0", HTTP_X_SLICE="-1")),
+            "group out of range": get_records(1, get_fields("c0", HTTP_X_SET="256")),
+            "unexpected token": get_records(1, get_fields("c0", HTTP_X_TXN_KEY="ab" * 16)),
             "body too long": begin + fastcgi.record(fastcgi.STDIN, 1, bytes(40_000)) * 2,
         }  # fmt: skip
         for name, sent in cases.items():
@@ -439,16 +432,16 @@
 
         await exchange("health check", get_records(1, {"SCRIPT_NAME": "/healthz"}))
         big = resp.array(pad_ident("a0"), b"served", b"res=filled,took=3", bytes(240_000))
-        await exchange("GET of a large object", get_records(1, self.fields("a0")), big)
+        await exchange("GET of a large object", get_records(1, get_fields("a0")), big)
         not_modified = resp.array(pad_ident("a1"), b"still_good", b"res=hit", b"")
-        conditional = self.fields("a1", HTTP_X_SEEN='W/"4be0"', HTTP_X_SLICE="3")
+        conditional = get_fields("a1", HTTP_X_SEEN='W/"4be0"', HTTP_X_SLICE="3")
         await exchange("conditional GET", get_records(2, conditional), not_modified)
-        await exchange("no time limit", get_records(3, self.fields("a2", HTTP_X_TTL_MS="")))
-        await exchange("unknown service", get_records(3, self.fields("a2", SCRIPT_NAME="/v1/none")))
-        await exchange("identifier with a comma", get_records(3, self.fields("a,2=")))
+        await exchange("no time limit", get_records(3, get_fields("a2", HTTP_X_TTL_MS="")))
+        await exchange("unknown service", get_records(3, get_fields("a2", SCRIPT_NAME="/v1/none")))
+        await exchange("identifier with a comma", get_records(3, get_fields("a,2=")))
         lines.append("two GETs, the first aborted, answers in reverse order")
         before = len(cache.commands)
-        await client.send(get_records(4, self.fields("b0")) + get_records(5, self.fields("b1")))
+        await client.send(get_records(4, get_fields("b0")) + get_records(5, get_fields("b1")))
         await cache.wait_until(lambda: len(cache.commands) == before + 2)
         await client.send(fastcgi.record(fastcgi.ABORT, 4))
         await cache.wait_until(lambda: len(cache.commands) == before + 3)
@@ -458,7 +451,7 @@
         lines.extend(await read_answers(client, 2))
         lines.append("the only cache resets the connection")
         before = len(cache.commands)
-        await client.send(get_records(6, self.fields("c0")))
+        await client.send(get_records(6, get_fields("c0")))
         await cache.wait_until(lambda: len(cache.commands) == before + 1)
         await cache.streams[-1].aclose()
         await cache.wait_until(lambda: len(cache.commands) == before + 2)  # retried at the same cache
@@ -474,7 +467,7 @@
         next_one = resp.array(pad_ident("d0"), b"served", b"-", b"d")
         await exchange(
             "other connections continue, the first forward without a fill",
-            get_records(7, self.fields("d0")),
+            get_records(7, get_fields("d0")),
             next_one,
         )
         await bulletin_server.wait_until(lambda: len(bulletin_server.hello_numbers) == 1)
@@ -486,7 +479,7 @@
         )
         os.kill(os.getpid(), signal.SIGTERM)
         last = resp.array(pad_ident("e0"), b"served", b"-", b"e")
-        await exchange("GET during shutdown", get_records(8, self.fields("e0")), last)
+        await exchange("GET during shutdown", get_records(8, get_fields("e0")), last)
         await fixture.stopped.wait()
         counts = server.counters.counts
         lines += [f"{name} {counts[name]}" for name in sorted(counts) if not name.startswith("cache.")]
@@ -499,6 +492,29 @@
 class CachePools(TraceCase):
     """Connections to caches, without a gateway."""
 
+    async def start_late(self, group: TaskGroup) -> tuple[StandIn, CacheConnections, anyio.Event]:
+        """Starts a cache and a pool whose connections to it are established once the event is set."""
+        stand_in, may_connect = StandIn(), anyio.Event()
+        caches = CacheConnections(100, 32, 1.0, 10.0, lambda name: None)
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self.address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+        run_connection = caches.run_connection
+
+        async def connects_late(connection: Connection) -> None:
+            await may_connect.wait()
+            await run_connection(connection)
+
+        caches.run_connection = connects_late  # type: ignore[method-assign]
+        group.start_soon(listener.serve, stand_in.cache)
+        group.start_soon(caches.run)
+        await anyio.sleep(0.01)
+        self.update_list(caches, "active")
+        return stand_in, caches, may_connect
+
+    def update_list(self, caches: CacheConnections, state: str) -> None:
+        line = bulletin.Listed("c1", self.address, "shop", state, 1.0, 0, "box", 0)
+        caches.update_list(bulletin.ListChanged(False, (line,)))
+
     def test_forward_canceled_before_connect_is_not_sent(self) -> None:
         """A connection is established late; one of the forwards queued for it has been canceled by then."""
         ended = list[str]()
@@ -507,26 +523,8 @@
             ended.append(result.result)
 
         async def run() -> None:
-            stand_in, caches, may_connect = (
-                StandIn(),
-                CacheConnections(100, 32, 1.0, 10.0, lambda name: None),
-                anyio.Event(),
-            )
-            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-            address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
-            run_connection = caches.run_connection
-
-            async def connects_late(connection: Connection) -> None:
-                await may_connect.wait()
-                await run_connection(connection)
-
-            caches.run_connection = connects_late  # type: ignore[method-assign]
             async with anyio.create_task_group() as group:
-                group.start_soon(listener.serve, stand_in.cache)
-                group.start_soon(caches.run)
-                await anyio.sleep(0.01)
-                line = bulletin.Listed("c1", address, "shop", "active", 1.0, 0, "box", 0)
-                caches.update_list(bulletin.ListChanged(False, (line,)))
+                stand_in, caches, may_connect = await self.start_late(group)
                 forwards = [
                     caches.send("c1", name, (resp.array(b"REQ", name, b"-", b""),), on_result)
                     for name in (b"a", b"b", b"c")
@@ -553,26 +551,10 @@
             ended.append(result.result)
 
         async def run() -> None:
-            stand_in, may_connect = StandIn(), anyio.Event()
-            caches = CacheConnections(100, 32, 1.0, 10.0, lambda name: None)
-            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-            address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
-            run_connection = caches.run_connection
-
-            async def connects_late(connection: Connection) -> None:
-                await may_connect.wait()
-                await run_connection(connection)
-
-            caches.run_connection = connects_late  # type: ignore[method-assign]
             async with anyio.create_task_group() as group:
-                group.start_soon(listener.serve, stand_in.cache)
-                group.start_soon(caches.run)
-                await anyio.sleep(0.01)
-                for state in ("active", "leaving"):
-                    line = bulletin.Listed("c1", address, "shop", state, 1.0, 0, "box", 0)
-                    caches.update_list(bulletin.ListChanged(False, (line,)))
-                    if state == "active":
-                        caches.send("c1", b"a", (resp.array(b"REQ", b"a", b"-", b""),), on_result)
+                stand_in, caches, may_connect = await self.start_late(group)
+                caches.send("c1", b"a", (resp.array(b"REQ", b"a", b"-", b""),), on_result)
+                self.update_list(caches, "leaving")
                 self.assertEqual(ended, ["unsent"])
                 may_connect.set()
                 caches.send("c1", b"b", (resp.array(b"REQ", b"b", b"-", b""),), on_result)
