--- a/review/rig3.py
+++ b/review/rig3.py
@@ -439,23 +439,36 @@
         await cache.listen()
         return cache
 
-    async def start_gateway(self, settings: dict[str, Any], name: str = "n0") -> tuple[str, int]:
+    async def start_gateway(
+        self, settings: dict[str, Any], name: str = "n0", told: bool = True
+    ) -> tuple[str, int]:
+        """Starts a gateway; `told`: its watch of the bulletin is waited for as well. One that has run before
+        starts with the configuration that it had, and so with its last list."""
         if not self.bulletin.events:
             self.bulletin.events.append(tuple(cache.listed() for cache in self.caches))
+        path = self.temporary / f"{name}.json"
+        if path.exists():
+            host, _, port = json.loads(path.read_text())["listen"].partition(":")
+            address: tuple[str, int] = (host, int(port))
+            await self.run_gateway(name, address, told)
+            return address
         with socket.socket() as probe:
             probe.bind((HOST, 0))
-            address: tuple[str, int] = probe.getsockname()
+            address = probe.getsockname()
         known = wire.event_log(enumerate(self.bulletin.events, 1), list(ZONES), list(MODELS))
         configuration = {
             "name": name, "listen": f"{HOST}:{address[1]}", "seed": os.urandom(8).hex(),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "bulletin": f"{HOST}:{self.bulletin.port}", "known": known, "settings": settings,
         }  # fmt: skip
-        path = self.temporary / f"{name}.json"
         path.write_text(json.dumps(configuration))
+        await self.run_gateway(name, address, told)
+        return address
+
+    async def run_gateway(self, name: str, address: tuple[str, int], told: bool) -> None:
         variables = dict(os.environ) | {
-            "ROUTER_NAME": name, "ROUTER_LISTEN": f"{HOST}:{address[1]}", "ROUTER_CONFIG": str(path),
-            "TMPDIR": str(self.temporary),
+            "ROUTER_NAME": name, "ROUTER_LISTEN": f"{HOST}:{address[1]}",
+            "ROUTER_CONFIG": str(self.temporary / f"{name}.json"), "TMPDIR": str(self.temporary),
         }  # fmt: skip
         process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", run_command(), cwd=ROOT, env=variables,
@@ -464,21 +477,22 @@
         self.processes.append(process)
         self.addresses.append(address)
         self.record.write("started", gateway=name, pid=process.pid)
-        await self.wait_ready(address)
-        return address
+        await self.wait_ready(address, told)
 
-    async def wait_ready(self, address: tuple[str, int]) -> None:
-        for _ in range(300):
+    async def wait_ready(self, address: tuple[str, int], told: bool) -> None:
+        for _ in range(600):
             try:
                 front = await self.connect(address)
             except OSError:
-                await asyncio.sleep(0.1)
+                await asyncio.sleep(0.05)
                 continue
             front.gets[1] = get = Get("healthz", "", "", self.record.now(), 1)
             assert front.transport is not None
             front.transport.write(wire.encode_get(1, {"SCRIPT_NAME": "/healthz"}))
             await asyncio.wait_for(get.done.wait(), 5)
             front.transport.close()
+            if not told:
+                return
             for _ in range(50):
                 if self.bulletin.watchers:
                     return
