--- a/review/rig3.py
+++ b/review/rig3.py
@@ -1,21 +1,14 @@
-"""What the cases 11 and up share: one or more gateways started with the deploy file's command, and stand-
-ins.
+"""What the cases 11 and up share: a gateway started with the deploy file's command, and stand-ins.
 
-The stand-ins are small caches, a bulletin and a web server on loopback addresses. They speak with the
-codecs of `damsonstream.standins.wire`, which are written apart from the gateway's. Every time in the
-record is in seconds since the start of the case, by the monotonic clock.
-
-A cache can let a connection come up late. Loopback has no such delay, so its listener drops what arrives
-(a classic BPF filter on the stand-in's own socket, which needs no privilege), and the cache itself
-completes the handshake from its side when the time has come (a simultaneous open, as in RFC 9293, section
-3.5).
+The stand-ins are small caches, a bulletin and a web server on loopback addresses. They speak with the codecs
+of `damsonstream.standins.wire`, which are written apart from the gateway's. Every time in the record is in
+seconds since the start of the case, by the monotonic clock.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import ctypes
 import json
 import os
 import shutil
@@ -65,39 +58,6 @@
         print(f"{self.now():9.4f} {kind} {text}", file=self.file, flush=True)
 
 
-def filter_out_all(listener: socket.socket, on: bool) -> None:
-    """Has a listening socket drop each segment that arrives, or take them again."""
-    if not on:
-        with contextlib.suppress(OSError):
-            listener.setsockopt(socket.SOL_SOCKET, 27, 0)  # SO_DETACH_FILTER
-        return
-    drop = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0))  # return 0: keep no byte
-    program = struct.pack("HP", 1, ctypes.addressof(drop))
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, 26, program)  # SO_ATTACH_FILTER
-    except OSError as error:
-        raise CannotRun(f"no filter on a socket of its own: {error}") from error
-
-
-def reusable_socket(port: int) -> socket.socket:
-    made = socket.socket()
-    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    made.bind((HOST, port))
-    made.setblocking(False)
-    return made
-
-
-def half_open() -> list[tuple[int, int]]:
-    """Returns the handshakes that have begun on this machine and not gone on: the ports from and to."""
-    found = []
-    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-        _, own, other, state = line.split()[:4]
-        if state == "02":
-            found.append((int(own.rpartition(":")[2], 16), int(other.rpartition(":")[2], 16)))
-    return found
-
-
 @dataclass
 class Copy:
     stamp: int  # Unix ms at which the origin gave it out
@@ -125,7 +85,6 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         self.cache.connections.add(self)
-        self.cache.connections_made += 1
 
     def connection_lost(self, error: Exception | None) -> None:
         self.cache.connections.discard(self)
@@ -179,18 +138,14 @@
         self.name, self.uid = f"{role}-{number}", f"s-{number:08x}"
         self.copies: dict[str, Copy] = {}
         self.connections: set[CacheConnection] = set()
-        self.connections_made = self.connections_late = 0
         self.state, self.units, self.started_ms, self.cell = 0, 24.0, 0, number
-        self.listener = reusable_socket(0)
-        self.port = self.listener.getsockname()[1]
         self.server: asyncio.Server | None = None
-        self.delays: list[float] = []  # of the connections that come up late next, in seconds
-        self.late_tasks: set[asyncio.Task[None]] = set()
+        self.port = 0
 
     async def listen(self) -> None:
-        self.listener.listen(64)
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: CacheConnection(self), sock=self.listener)
+        self.server = await loop.create_server(lambda: CacheConnection(self), HOST, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
 
     def listed(self) -> wire.ListedNode:
         model = MODELS.index(self.role)
@@ -198,46 +153,10 @@
         return wire.ListedNode(self.id, (HOST, self.port), self.state, location, model, self.cell,
                                self.units, self.started_ms)  # fmt: skip
 
-    def delay_connections(self, delays: list[float]) -> None:
-        """Has as many of the next connections come up late; later ones come up at once."""
-        self.delays = list(delays)
-        filter_out_all(self.listener, True)
-        self.rig.late_caches[self.port] = self
-
-    def handshake_begun(self, port: int) -> None:
-        """Completes a handshake when its time has come; the last one lets later connections come up."""
-        delay, seen = self.delays.pop(0), time.monotonic()
-        self.record.write("syn", cache=self.name, port=port, delay=f"{delay:.4f}")
-        self.late_tasks.add(asyncio.ensure_future(self.complete(port, seen + delay)))
-        if not self.delays:
-            del self.rig.late_caches[self.port]
-            filter_out_all(self.listener, False)
-
-    async def complete(self, port: int, when: float) -> None:
-        loop = asyncio.get_running_loop()
-        opening = reusable_socket(self.port)
-        await asyncio.sleep(max(0.0, when - time.monotonic()))
-        try:
-            await asyncio.wait_for(loop.sock_connect(opening, (HOST, port)), 0.2)
-            await loop.connect_accepted_socket(lambda: CacheConnection(self), opening)
-        except (OSError, TimeoutError) as error:  # the gateway no longer waits
-            self.record.write("not-up", cache=self.name, port=port, why=type(error).__name__)
-            opening.close()
-            return
-        self.connections_late += 1
-        self.record.write("up-late", cache=self.name, port=port)
-
     def drop_older(self, purged_at: int) -> None:
         self.copies = {key: copy for key, copy in self.copies.items() if copy.stamp >= purged_at}
 
-    def close_idle(self) -> None:
-        for connection in list(self.connections):
-            if not connection.open and connection.transport is not None:
-                connection.transport.close()
-
     def close(self) -> None:
-        for task in self.late_tasks:
-            task.cancel()
         if self.server is not None:
             self.server.close()
         for connection in list(self.connections):
@@ -377,16 +296,12 @@
         self.caches: list[Cache] = []
         self.stalls: list[tuple[float, float]] = []  # in which this process did not run, for whatever reason
         self.pulse: asyncio.Task[None] | None = None
-        self.poller: asyncio.Task[None] | None = None
         self.processes: list[asyncio.subprocess.Process] = []
         self.addresses: list[tuple[str, int]] = []
-        self.late_caches: dict[int, Cache] = {}  # by port: whose next connections come up late
-        self.handshakes: set[tuple[int, int]] = set()  # that these caches have seen begin
 
     async def __aenter__(self) -> Rig:
         await self.bulletin.listen()
         self.pulse = asyncio.ensure_future(self.watch_stalls())
-        self.poller = asyncio.ensure_future(self.watch_handshakes())
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -399,9 +314,8 @@
             except TimeoutError:
                 process.kill()
                 await process.wait()
-        for task in (self.pulse, self.poller):
-            if task is not None:
-                task.cancel()
+        if self.pulse is not None:
+            self.pulse.cancel()
         for cache in self.caches:
             cache.close()
         if self.bulletin.server is not None:
@@ -418,15 +332,6 @@
                 self.record.write("stall", ms=f"{(now - last) * 1000:.0f}")
             last = now
 
-    async def watch_handshakes(self) -> None:
-        while True:
-            for begun in half_open() if self.late_caches else ():
-                cache = self.late_caches.get(begun[1])
-                if cache is not None and begun not in self.handshakes:
-                    self.handshakes.add(begun)
-                    cache.handshake_begun(begun[0])
-            await asyncio.sleep(0.001)
-
     def between(self, start: float, end: float) -> float:
         """Returns the time from start to end without that in which this process stood still: what came in
         then is read late, through no fault of the gateway."""
@@ -508,12 +413,6 @@
         codes = [process.returncode for process in self.processes]
         return [f"a gateway has ended with {code}" for code in codes if code is not None]
 
-    @property
-    def late_share(self) -> float:
-        """The share of all connections to caches so far that came up late."""
-        made = sum(cache.connections_made for cache in self.caches)
-        return sum(cache.connections_late for cache in self.caches) / max(1, made)
-
 
 def unix_ms() -> int:
     return time.time_ns() // 1_000_000
