A forward is confirmed and encoded at its first byte, not when it was decided

Nothing looked at what had been told meanwhile; only a drain of the cache itself took bytes back.

Change: the command is encoded when its first byte is sent. Router.confirm_forward() decides then whether the forward still holds: GET open, time left, cache and source active and the same processes, window and scope of the token. The bound on the age and the time limit are those of that moment. Else it ends as unsent and the router chooses again. The queue of bytes in TcpConnection goes. No byte of a forward is sent by another way, and the question and the write are in one step of the event loop.

--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -131,7 +131,11 @@
         self.gateway.apply_bulletin(event)
 
     def open_get(
-        self, request: fastcgi.Request, send_answer: Answer, on_end: Callable[[], None]
+        self,
+        request: fastcgi.Request,
+        send_answer: Answer,
+        on_end: Callable[[], None],
+        is_connected: Callable[[], bool],
     ) -> life.Get | None:
         """Validates a GET and starts its task, at whose end `on_end` is called. Health checks and rejected
         GETs are answered at once, and None is returned."""
@@ -157,7 +161,7 @@
             self.record_rejection(fields, "errored", "unusable")
             finish(life.FinalAnswer("errored"))
             return None
-        get.on_end = on_end
+        get.on_end, get.is_client_connected = on_end, is_connected
         self.get_tasks.start(get, finish)
         return get
 
--- a/damsonstream/routing/gateway.py
+++ b/damsonstream/routing/gateway.py
@@ -135,6 +135,10 @@
                 case i.SubscribeToList():
                     pass  # the bulletin sends the list unasked
 
+    def confirm_forward(self, get: int, attempt: int) -> i.Forward | None:
+        """Asks the router whether a forward may still be sent; see `Router.confirm_forward()`."""
+        return self.router.confirm_forward(self.clock.now(), get, attempt)
+
     def apply_bulletin(self, event: bulletin.Event) -> None:
         """Converts an event of the bulletin and hands it to the router."""
         match event:
--- a/damsonstream/routing/life.py
+++ b/damsonstream/routing/life.py
@@ -10,6 +10,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Protocol
 
 import anyio
@@ -34,9 +35,11 @@
 
 
 ForwardEnd = resp.Answer | resp.Lost
+# Called right before the first byte of a forward is sent; returns None if it must not be sent any more.
+Encoder = Callable[[], resp.Command | None]
 Sender = Callable[
-    [str, bytes, resp.Command, Callable[[ForwardEnd], None]], ForwardHandle
-]  # cache, id, command, callback for the end
+    [str, bytes, Encoder, Callable[[ForwardEnd], None]], ForwardHandle
+]  # cache, id, encoder of the command, callback for the end
 
 
 @dataclass(slots=True, frozen=True)
@@ -62,6 +65,11 @@
     """Does nothing at the end of a GET."""
 
 
+def always_connected() -> bool:
+    """Used where the connection of the client is not known."""
+    return True
+
+
 @dataclass(slots=True)
 class Get:
     """A GET as received from the client."""
@@ -76,6 +84,8 @@
     body: bytes
     inbox: Inbox[Step] = field(default_factory=Inbox)
     on_end: Callable[[], None] = ignore_end  # called when it is answered and all its forwards have ended
+    # whether the client is still there; it may have left before its input has been read
+    is_client_connected: Callable[[], bool] = always_connected
 
     def client_left(self) -> None:
         self.inbox.put(ClientGone())
@@ -164,6 +174,17 @@
             observer.forward_ended(now, event, stamp)
         gateway.handle_event(event)
 
+    def encode(attempt: int) -> resp.Command | None:
+        if not get.is_client_connected():
+            get.client_left()
+            return None
+        confirmed = None if finished else gateway.confirm_forward(number, attempt)
+        if confirmed is None:
+            return None
+        expires_at = pending[attempt].expires_at
+        wait = (min(deadline, expires_at) if expires_at else deadline) - clock.now()
+        return encode_forward(get, confirmed, wait)
+
     def send_answer(final: FinalAnswer, attempt: int = -1) -> None:
         nonlocal finished
         if not finished:
@@ -216,26 +237,16 @@
                         forward_done(attempt, resp.Lost("unsent"), True)
                         continue
                     has_timeouts |= step.timeout > 0
-                    wait = min(deadline, now + step.timeout) if step.timeout else deadline
-                    command = resp.forward(
-                        get.ident, get.fixed_fields, get.body,
-                        wait_ms=max(1, (wait - now) // TICKS_PER_MS),
-                        source=step.source if step.source != step.cache else "",
-                        rank=step.retention_rank,
-                        age_ms=max(1, step.max_age // TICKS_PER_MS) if step.max_age else 0,
-                        join=step.collapse, renew=step.refresh, copies=step.only_if_cached,
-                    )  # fmt: skip
+                    expires_at = now + step.timeout if step.timeout else 0
 
                     def on_end(ending: ForwardEnd, attempt: int = attempt) -> None:
                         inbox.put(ForwardDone(attempt, ending))
 
-                    forward = PendingForward(
-                        step.cache, now, now + step.timeout if step.timeout else 0, UNSENT
-                    )
+                    forward = PendingForward(step.cache, now, expires_at, UNSENT)
                     pending[attempt] = forward
                     if observer is not None:
                         observer.forward_sent(now, number, attempt, step)
-                    forward.handle = send(step.cache, get.ident, command, on_end)
+                    forward.handle = send(step.cache, get.ident, partial(encode, attempt), on_end)
                 case ForwardDone():
                     if step.attempt not in pending:
                         continue  # already ended by a recall or timeout
@@ -268,6 +279,18 @@
             forward.handle.stop()
 
 
+def encode_forward(get: Get, forward: i.Forward, wait: int) -> resp.Command:
+    """Encodes a forward of a GET; `wait` is its time limit in ticks."""
+    return resp.forward(
+        get.ident, get.fixed_fields, get.body,
+        wait_ms=max(1, wait // TICKS_PER_MS),
+        source=forward.source if forward.source != forward.cache else "",
+        rank=forward.retention_rank,
+        age_ms=max(1, forward.max_age // TICKS_PER_MS) if forward.max_age else 0,
+        join=forward.collapse, renew=forward.refresh, copies=forward.only_if_cached,
+    )  # fmt: skip
+
+
 class UnsentHandle:
     """Handle of a forward that has not been sent."""
 
--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -210,7 +210,7 @@
     attempts: int = 0
     pending: dict[int, PendingForward] = field(default_factory=dict)
     avoided: set[Node] = field(default_factory=set)
-    may_have_run: tuple[int, Node] | None = None  # time and cache of the first forward that may have executed
+    may_have_run: PendingForward | None = None  # the first forward that may have executed
     queued_at: int = -1  # when the GET was queued, -1: not queued
     waits_for: Node | None = None  # the node without capacity that the GET is queued for, None: any
     orders: dict[tuple[Node, ...], list[Node]] = field(default_factory=dict)  # cached rendezvous orders
@@ -232,6 +232,8 @@
     trials: list[Node]  # those of them whose breaker is not Closed
     budget: str = ""  # the hierarchy's budget that the fill was charged to
     blamed: bool = False  # a node was blamed when the forward became overdue
+    entries: list[i.ListEntry] = field(default_factory=list)  # of the nodes, when the forward was decided
+    withdrawn: bool = False  # it was not sent, as it did not hold any more
 
 
 # half-life of an estimated overload; the highest estimate (16) decays to 1.5 in ten seconds
@@ -446,18 +448,51 @@
         forward = PendingForward(
             get, get.attempts, cache, source, now, cost, only_if_cached, nodes, trials, budget
         )
+        forward.entries = [node.entry for node in nodes]
         get.attempts, get.queued_at = get.attempts + 1, -1
         if config.idempotency != "idempotent" and get.may_have_run is None:
-            get.may_have_run = (now, cache)
+            get.may_have_run = forward
         get.pending[forward.attempt] = self.pending[get.id, forward.attempt] = forward
-        max_age, normal_fill = self.max_copy_age(get, source is cache), source is not cache and not trials
-        refresh = config.max_age > 0 and not max_age and normal_fill and self.warm_share(source) >= 1
-        collapse = self.config.collapses_fills and forward.attempt == 0 and not trials
-        self.actions.append(
-            i.Forward(get.id, cache.name, source.name, 1, 0, max_age, collapse, refresh, only_if_cached)
-        )
+        self.actions.append(self.forward_action(forward))
         heappush(self.timers, (now + self.overdue_after(get), get.id, forward.attempt))
 
+    def forward_action(self, forward: PendingForward) -> i.Forward:
+        """Returns the action that sends the forward, with what it may ask for at this time."""
+        get, cache, source = forward.get, forward.cache, forward.source
+        max_age = self.max_copy_age(get, source is cache)
+        normal_fill = source is not cache and not forward.trials
+        may_refresh = get.service.config.max_age > 0 and not max_age
+        refresh = may_refresh and normal_fill and self.warm_share(source) >= 1
+        collapse = self.config.collapses_fills and forward.attempt == 0 and not forward.trials
+        return i.Forward(
+            get.id, cache.name, source.name, 1, 0, max_age, collapse, refresh, forward.only_if_cached
+        )
+
+    def confirm_forward(self, now: int, get_id: int, attempt: int) -> i.Forward | None:
+        """Called right before the first byte of a forward is sent, which may be long after the decision: its
+        connection may have been established late. Returns the forward as it may be sent now, or None if it
+        must not be sent any more; it then ends as `unsent`."""
+        self.now = now
+        forward = self.pending.get((get_id, attempt))
+        if forward is None:
+            return None
+        if not self.still_holds(forward):
+            forward.withdrawn = True
+            return None
+        return self.forward_action(forward)
+
+    def still_holds(self, forward: PendingForward) -> bool:
+        """Returns whether a forward that was decided earlier may be sent now."""
+        get = forward.get
+        if get.id not in self.gets or self.now >= get.deadline:
+            return False
+        for node, entry in zip(forward.nodes, forward.entries, strict=True):
+            if not node.active or node.entry.started_at != entry.started_at:  # it leaves or is a new process
+                return False
+        if get.may_have_run is forward:
+            return True
+        return self.within_token_lifetime(get) and self.in_token_scope(get, forward.cache)
+
     def origin_strained(self) -> bool:
         """Returns whether parents may be asked only for cached copies, to relieve the origin.
 
@@ -615,21 +650,25 @@
 
         A GET that may have executed is forwarded again only if its idempotency kind allows it.
         """
-        config = get.service.config
         exhausted = self.now >= get.deadline or get.attempts >= self.config.max_forwards
         if exhausted or (get.pending and not self.config.allows_hedges):
             return False
+        return self.within_token_lifetime(get)
+
+    def within_token_lifetime(self, get: Get) -> bool:
+        """Returns whether the time allows a GET to be sent that may have executed."""
+        config = get.service.config
         if get.may_have_run is None or config.idempotency == "idempotent":
             return True
         return (
             config.idempotency == "tokened"
-            and self.now + self.config.timer_tick < get.may_have_run[0] + config.token_lifetime
+            and self.now + self.config.timer_tick < get.may_have_run.sent_at + config.token_lifetime
         )
 
     def in_token_scope(self, get: Get, node: Node) -> bool:
         """Returns whether the node shares the token scope of the forward that may have executed."""
         scope, entry = get.service.config.token_scope, node.entry
-        first = get.may_have_run[1].entry if get.may_have_run and scope != "all" else entry
+        first = get.may_have_run.cache.entry if get.may_have_run and scope != "all" else entry
         return entry.location == first.location and (scope != "cell" or entry.cell == first.cell)
 
     def may_shed(self, get: Get) -> bool:
@@ -814,10 +853,7 @@
         if event.get_done:
             self.finish(get)
         elif get.id in self.gets:
-            if event.result in ("shed", "lacking", "unreached", "unsent") and get.may_have_run == (
-                forward.sent_at,
-                cache,
-            ):
+            if event.result in ("shed", "lacking", "unreached", "unsent") and get.may_have_run is forward:
                 # proved not to have executed; an earlier forward that may have is kept
                 get.may_have_run = None
             if event.result == "lacking" and (
@@ -837,10 +873,10 @@
             else:
                 same_cache = event.result == "broken" and get.attempts == 1  # retry once at the same cache
                 suspect = source if event.result == "shed" and event.duration > LOCAL_REFUSAL_TIME else cache
-                if event.result != "recalled" and not same_cache:
+                if event.result != "recalled" and not same_cache and not forward.withdrawn:
                     get.avoided.add(blamed or suspect)
-                # the broken forward's work was dropped, so its retry adds no load
-                self.retry_budget += same_cache
+                # the broken forward's work was dropped, or none was sent, so that the retry adds no load
+                self.retry_budget += same_cache or forward.withdrawn
                 # every path leads to the same origin: while it is overloaded, retry only an admitted part
                 admitted = event.fill_code != 10 or get.admission_draw * self.origin_overload() < 1
                 if not get.pending and self.retry_budget >= 1 and admitted:
--- a/damsonstream/transport/caches.py
+++ b/damsonstream/transport/caches.py
@@ -2,7 +2,8 @@
 the number of file descriptors available to them.
 
 Usage: `update_list()` applies changes of the list of caches. `send()` sends a forward and returns a handle;
-its callback is called once with the result. `handle.stop()` cancels the forward, after which the callback is
+its callback is called once with the result. The forward is encoded when its first byte is sent, and its
+encoder may withdraw it then. `handle.stop()` cancels the forward, after which the callback is
 not called. `run()` is the background task that opens connections and closes idle or unresponsive ones.
 """
 
@@ -43,6 +44,8 @@
 # Identifiers of finished forwards remembered per connection; late answers to them arrive within a few GETs.
 MAX_FINISHED_IDENTS = 256
 ForwardResult = resp.Answer | resp.Lost
+# Called right before the first byte is sent; returns None if the forward must not be sent any more.
+Encoder = Callable[[], resp.Command | None]
 
 
 @dataclass(slots=True, eq=False)
@@ -50,7 +53,7 @@
     """A forward that was sent and has no result yet."""
 
     ident: bytes
-    command: resp.Command  # until it is sent
+    encode: Encoder
     on_result: Callable[[ForwardResult], None]
     connection: Connection | None = None
 
@@ -90,25 +93,40 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        for forward in self.pending.values():
-            forward.command = ()
+        if self.transport is not None:
+            for forward in list(self.pending.values()):
+                self.write_forward(forward)
 
-    def send_forward(self, forward: PendingForward) -> None:
+    def add_forward(self, forward: PendingForward) -> None:
+        """Sends a forward, or keeps it until the connection is established."""
         self.awaiting_since = self.awaiting_since or time.monotonic()
         forward.connection = self
         self.pending[forward.ident] = forward
-        self.forwards += 1
-        self.send_pieces(forward.command)
         if self.transport is not None:
-            forward.command = ()
+            self.write_forward(forward)
+
+    def write_forward(self, forward: PendingForward) -> None:
+        """Sends a forward, or ends it as `unsent` if it must not be sent any more."""
+        if self.pending.get(forward.ident) is not forward:  # withdrawn meanwhile
+            return
+        command = forward.encode()
+        if command is not None:
+            self.forwards += 1
+            self.owner.count("forwarded")
+            self.send_pieces(command)
+            return
+        del self.pending[forward.ident]
+        if not self.pending:
+            self.awaiting_since = 0.0
+        self.owner.count("withdrawn")
+        forward.on_result(resp.Lost("unsent"))
 
     def cancel_forward(self, forward: PendingForward) -> None:
         """Removes a queued forward, or sends a STOP for one that was sent."""
         if self.pending.get(forward.ident) is not forward:
             return
         del self.pending[forward.ident]
-        if self.transport is None:  # not connected yet: the queued command must not be sent
-            self.queue.remove(forward.command)
+        if self.transport is None:  # not connected yet, so it was not sent
             return
         self.mark_finished(forward.ident)
         self.send(resp.stop(forward.ident))
@@ -118,7 +136,6 @@
         if self.transport is not None:
             return
         withdrawn, self.pending = list(self.pending.values()), {}
-        self.queue.clear()
         self.awaiting_since = 0.0
         for forward in withdrawn:
             forward.on_result(resp.Lost("unsent"))
@@ -241,11 +258,11 @@
                 connection.close(reason)
 
     def send(
-        self, cache: str, ident: bytes, command: resp.Command, on_result: Callable[[ForwardResult], None]
+        self, cache: str, ident: bytes, encode: Encoder, on_result: Callable[[ForwardResult], None]
     ) -> PendingForward:
-        """Sends a command on the least loaded connection, opening one if necessary. The result is `unsent` if
-        the cache is not listed or no connection is available."""
-        forward = PendingForward(ident, command, on_result)
+        """Sends a forward on the least loaded connection, opening one if necessary. The result is `unsent` if
+        the cache is not listed, no connection is available, or `encode()` returns None."""
+        forward = PendingForward(ident, encode, on_result)
         pool = self.pools.get(cache)
         if pool is None or self.tasks is None:
             on_result(resp.Lost("unsent"))
@@ -260,8 +277,7 @@
             pool.connections.append(connection)
             self.open_connections[connection] = None
             self.tasks.start_soon(self.run_connection, connection)
-        connection.send_forward(forward)
-        self.count("forwarded")
+        connection.add_forward(forward)
         return forward
 
     def close_longest_idle(self) -> bool:
--- a/damsonstream/transport/front.py
+++ b/damsonstream/transport/front.py
@@ -40,9 +40,9 @@
 
 
 Answer = Callable[[bytes], None]  # takes the encoded FastCGI answer
-# The third argument is called when the GET has ended and needs no memory any more. Returns None if the GET
-# was answered at once; it has ended then.
-GetOpener = Callable[[fastcgi.Request, Answer, Callable[[], None]], OpenGet | None]
+# The third argument is called when the GET has ended and needs no memory any more; the fourth returns whether
+# the client is still connected. Returns None if the GET was answered at once; it has ended then.
+GetOpener = Callable[[fastcgi.Request, Answer, Callable[[], None], Callable[[], bool]], OpenGet | None]
 
 
 class NoOpenGet:
@@ -118,7 +118,7 @@
                 self.close("asked", flush=True)
 
         self.open_gets[id] = NO_OPEN_GET
-        open_get = self.listener.open_get(get, answer, on_end)
+        open_get = self.listener.open_get(get, answer, on_end, self.is_connected)
         if open_get is not None:
             self.open_gets[id] = open_get
         else:
--- a/damsonstream/transport/link.py
+++ b/damsonstream/transport/link.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import logging
+import select
 import time
 from typing import cast
 
@@ -18,7 +19,7 @@
 
 
 class TcpConnection(asyncio.BufferedProtocol):
-    """One TCP connection. Data sent before it is established is queued."""
+    """One TCP connection. Nothing can be sent before it is established."""
 
     # shared by all connections: what is read is processed or copied before the next read
     read_buffer = memoryview(bytearray(READ_BYTES))
@@ -27,9 +28,6 @@
         self.transport: asyncio.Transport | None = None
         self.reason = ""  # reason code of the close; empty while the connection is usable
         self.last_used = time.monotonic()
-        self.queue: list[
-            tuple[bytes, ...]
-        ] = []  # data sent before it is established; the sender limits its size
 
     def handle_data(self, data: bytes) -> None:
         raise NotImplementedError
@@ -44,9 +42,6 @@
             established.abort()
             return
         self.transport = established
-        if self.queue:
-            self.transport.writelines([piece for pieces in self.queue for piece in pieces])
-            self.queue.clear()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return self.read_buffer
@@ -77,11 +72,20 @@
 
     def send_pieces(self, pieces: tuple[bytes, ...]) -> None:
         """Sends data in pieces, so that a large one need not be copied."""
-        if self.transport is None:
-            self.queue.append(pieces)
-        elif not self.reason:
+        if self.transport is not None and not self.reason:
             self.transport.writelines(pieces)
 
+    def is_connected(self) -> bool:
+        """Returns whether the peer has not closed the connection. Input before a close may be unread."""
+        if self.reason or self.transport is None:
+            return False
+        descriptor = self.transport.get_extra_info("socket").fileno()
+        if descriptor < 0:
+            return False
+        poll = select.poll()
+        poll.register(descriptor, select.POLLRDHUP)
+        return not poll.poll(0)
+
     @property
     def unsent_bytes(self) -> int:
         """The number of bytes in the send buffer, not yet passed to the kernel."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -69,9 +69,10 @@
         self.lives = life.GetTasks(self.gateway, self.send)
         self.callbacks: list[ResultCallback] = []
 
-    def send(self, cache: str, ident: bytes, command: resp.Command, on_result: ResultCallback) -> FakeForward:
+    def send(self, cache: str, ident: bytes, encode: life.Encoder, on_result: ResultCallback) -> FakeForward:
         self.callbacks.append(on_result)
-        label = f"{ident.decode()} to {cache}"
+        label, command = f"{ident.decode()} to {cache}", encode()
+        assert command is not None
         self.lines.append(f"  {label}: {command[0].split(b'$')[3].split()[1].decode()}")
         return FakeForward(self, label)
 
@@ -489,6 +490,11 @@
         self.check("loopback", [re.sub(r"ms=\d+", "ms=..", line) for line in lines])
 
 
+def encoder(ident: bytes) -> life.Encoder:
+    """Returns the encoder of a forward that is always sent."""
+    return lambda: (resp.array(b"REQ", ident, b"-", b""),)
+
+
 class CachePools(TraceCase):
     """Connections to caches, without a gateway."""
 
@@ -526,7 +532,7 @@
             async with anyio.create_task_group() as group:
                 stand_in, caches, may_connect = await self.start_late(group)
                 forwards = [
-                    caches.send("c1", name, (resp.array(b"REQ", name, b"-", b""),), on_result)
+                    caches.send("c1", name, encoder(name), on_result)
                     for name in (b"a", b"b", b"c")
                 ]
                 forwards[1].stop()
@@ -553,11 +559,11 @@
         async def run() -> None:
             async with anyio.create_task_group() as group:
                 stand_in, caches, may_connect = await self.start_late(group)
-                caches.send("c1", b"a", (resp.array(b"REQ", b"a", b"-", b""),), on_result)
+                caches.send("c1", b"a", encoder(b"a"), on_result)
                 self.update_list(caches, "leaving")
                 self.assertEqual(ended, ["unsent"])
                 may_connect.set()
-                caches.send("c1", b"b", (resp.array(b"REQ", b"b", b"-", b""),), on_result)
+                caches.send("c1", b"b", encoder(b"b"), on_result)
                 with anyio.fail_after(5.0):
                     await stand_in.wait_until(lambda: len(stand_in.commands) >= 1)
                 await anyio.sleep(0.05)
@@ -586,9 +592,7 @@
             async def send_forwards(*names: str) -> None:
                 before = len(stand_in.commands)
                 for name in names:
-                    caches.send(
-                        "c1", name.encode(), (resp.array(b"REQ", name.encode(), b"-", b""),), log_result(name)
-                    )
+                    caches.send("c1", name.encode(), encoder(name.encode()), log_result(name))
                 await stand_in.wait_until(lambda: len(stand_in.commands) == before + len(names))
 
             async def all_closed() -> None:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -442,8 +442,11 @@
         desk.start(8, service=2)
         desk.finish(8, "broken")  # may have executed; the next one surely has not, which must not undo that
         desk.finish(8, "shed")
+        may_have_run = desk.router.gets[8].may_have_run
+        assert may_have_run is not None
         self.assertEqual(
-            desk.router.gets[8].may_have_run, (desk.now, desk.router.nodes[desk.sent[8, 0].cache])
+            (may_have_run.attempt, may_have_run.sent_at, may_have_run.cache),
+            (0, desk.now, desk.router.nodes[desk.sent[8, 0].cache]),
         )
         desk.start(9, service=2)
         desk.advance(3 * S - 20)  # the token has expired: no other forward is allowed
