The cell of a token is that of the process that it was sent to, not of its successor

Cause: in_token_scope() asked the node for its cell at the retry; the list had replaced it meanwhile. Change: the entry as of the send decides.

Evidence: the test failed before (2 attempts, 1 allowed) and passes now.

--- a/damsonstream/routing/router.py
+++ b/damsonstream/routing/router.py
@@ -668,7 +668,8 @@
     def in_token_scope(self, get: Get, node: Node) -> bool:
         """Returns whether the node shares the token scope of the forward that may have executed."""
         scope, entry = get.service.config.token_scope, node.entry
-        first = get.may_have_run.cache.entry if get.may_have_run and scope != "all" else entry
+        # as listed when it was sent: the same name may be a new process elsewhere by now
+        first = get.may_have_run.entries[0] if get.may_have_run and scope != "all" else entry
         return entry.location == first.location and (scope != "cell" or entry.cell == first.cell)
 
     def may_shed(self, get: Get) -> bool:
--- a/tests/test_late_sends.py
+++ b/tests/test_late_sends.py
@@ -4,6 +4,7 @@
 
 import time
 from copy import deepcopy
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -12,7 +13,7 @@
 from damsonstream.protocol import bulletin
 from damsonstream.routing import interface as i
 from damsonstream.transport.caches import Connection
-from tests.helpers import PAGES, TILES, RouterDriver, S, ScenarioCase, entry, get_fields, get_records
+from tests.helpers import ORDER, PAGES, TILES, RouterDriver, S, ScenarioCase, entry, get_fields, get_records
 from tests.test_gateway import SETTINGS, LoopbackFixture, read_answers
 
 WINDOW_S = 0.3  # in which caches drop the repeats of a token
@@ -165,3 +166,16 @@
         assert purged is not None
         self.assertEqual((purged.max_age, purged.refresh), (100, False))
         self.assertGreater(PAGES.max_age, 100)
+
+    def test_cell_of_a_token_is_that_of_the_process_that_it_was_sent_to(self) -> None:
+        """Against the failure in which a new process under a known name, in another cell, was taken for the
+        one that may have run a request, so that the request was sent to a cell that drops no repeat of it."""
+        order = replace(ORDER, token_scope="cell")
+        desk = RouterDriver(nodes="c1 p1 o", services=(TILES, PAGES, order, order))
+        desk.handle(i.ListUpdate("changes", (entry("c1", cell=1),)))
+        desk.start(1, service=2)
+        moved = (entry("c1", cell=2, since=99 * S), entry("c2", cell=2))
+        desk.handle(i.ListUpdate("changes", moved))
+        desk.finish(1, "broken")
+        self.assertEqual(desk.attempts[1], 1)
+        self.assertNotIn(1, desk.router.gets)
