An answer is used only if nothing or another answer follows it in the input

Cause: Decoder.parse_buffer took an answer for whole when CRLF stood at its claimed end; in a text that is often so. What follows was not looked at, also when it lay in the buffer.

Change: what follows must be nothing or the beginning of an answer. A length that is too large can take in the next answer whole; a body that contains an answer to a forward of its connection ends the connection as malformed.

Three new tests failed before: short lengths (both answers returned), the line that resembles an answer (returned), the answer that takes in another (the second forward never ended; its limit of 30 s), and pass now. test_malformed_input wanted the sound answer right before noise. Its case has two answers now: the first is returned, the second must not be.

--- a/damsonstream/protocol/resp.py
+++ b/damsonstream/protocol/resp.py
@@ -3,12 +3,15 @@
 
 Usage: `forward()` and `stop()` encode a command. `Decoder().feed(data)` returns the answers that `data`
 completes, up to a maximum number. After malformed input, the answers before it are returned, `error` holds
-the reason, and all further input is ignored. This module maps the names of the wire to those used elsewhere
-in the code.
+the reason, and all further input is ignored. An answer is only returned if what follows it in the input may
+begin another one: otherwise its length doesn't fit, and its body is not whole. This module maps the names of
+the wire to those used elsewhere in the code.
 """
 
 from __future__ import annotations
 
+import re
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 MAX_BODY_BYTES = 240_000  # of an object; set by the protocol
@@ -17,6 +20,9 @@
 MAX_LOAD = 1e6  # larger values of a gauge, and those that are no number, are ignored
 MAX_WAIT_MS = 10**9  # of the waiting time that an answer reports
 UNLIMITED_ANSWERS = 1 << 30
+ANSWER_START = b"*4\r\n$"  # the first bytes of each answer
+# an answer, with its id, behind the end of another one
+FOLLOWING_ANSWER = re.compile(rb"\r\n\*4\r\n\$\d+\r\n([^\r]*)\r\n\$")
 
 RESULT_BY_WORD = {
     b"served": "returned",
@@ -138,6 +144,14 @@
     return Answer(ident, RESULT_BY_WORD[word], note, waited, load, same, stamp, body)
 
 
+def embedded_idents(body: bytes) -> Iterator[bytes]:
+    """Returns the ids of answers that a body seems to contain. If one is that of a forward on the same
+    connection, the length of the body was too large, and it has taken in that answer."""
+    if b"\r\n" + ANSWER_START not in body:
+        return iter(())
+    return (match[1] for match in FOLLOWING_ANSWER.finditer(body))
+
+
 class Decoder:
     """Decodes the answers of one connection, from input of any fragmentation."""
 
@@ -180,6 +194,8 @@
                 self.strings.append(bytes(memoryview(self.buffer)[offset:end]))
                 offset, self.string_bytes, self.strings_left = end + 2, -1, self.strings_left - 1
                 if not self.strings_left:
+                    if not ANSWER_START.startswith(self.buffer[offset : offset + len(ANSWER_START)]):
+                        raise ProtocolError("no answer behind an answer")
                     answers.append(parse_answer(self.strings))
                     self.strings = []
                 continue
--- a/damsonstream/transport/caches.py
+++ b/damsonstream/transport/caches.py
@@ -146,16 +146,26 @@
             self.finished.popitem(last=False)
 
     def process_input(self, data: bytes) -> bool:
+        error = ""
         for answer in self.decoder.feed(data, ANSWERS_PER_STEP):
+            if self.contains_other_answer(answer):
+                error = "answer within an answer"
+                break
             self.handle_answer(answer)
-        if self.decoder.error:
-            log.warning("malformed", extra={"cache": self.pool.cache, "what": self.decoder.error})
+        error = error or self.decoder.error
+        if error:
+            log.warning("malformed", extra={"cache": self.pool.cache, "what": error})
             self.close("malformed")
         elif self.unasked > MAX_UNASKED_PER_FORWARD * self.forwards:
             self.close("unasked")
         self.last_used, self.awaiting_since = time.monotonic(), 0.0
         return self.decoder.has_more
 
+    def contains_other_answer(self, answer: resp.Answer) -> bool:
+        """Returns whether the body of an answer contains one to another forward: its length is too large."""
+        idents = resp.embedded_idents(answer.body)
+        return any(ident in self.pending or ident in self.finished for ident in idents)
+
     def handle_answer(self, answer: resp.Answer) -> None:
         forward = self.pending.pop(answer.ident, None)
         if forward is not None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -495,7 +495,7 @@
     return lambda: (resp.array(b"REQ", ident, b"-", b""),)
 
 
-class CachePools(TraceCase):
+class CachePools(ScenarioCase):
     """Connections to caches, without a gateway."""
 
     async def start_late(self, group: TaskGroup) -> tuple[StandIn, CacheConnections, anyio.Event]:
@@ -572,6 +572,31 @@
 
         anyio.run(run)
 
+    def test_answer_that_takes_in_another_one_is_not_returned(self) -> None:
+        """Against the failure in which an object was served with the next answer of its connection behind it:
+        the length that the cache gave was too large, and ended where that answer ends."""
+        self.disable_logging()
+        ended = list[str]()
+
+        def on_result(result: life.ForwardEnd) -> None:
+            ended.append(result.result)
+
+        async def scenario(group: TaskGroup) -> None:
+            stand_in, caches, may_connect = await self.start_late(group)
+            may_connect.set()
+            for ident in (b"a", b"b"):
+                caches.send("c1", ident, encoder(ident), on_result)
+            await stand_in.wait_until(lambda: len(stand_in.commands) == 2)
+            second = resp.array(b"b", b"served", b"-", b"other object")
+            size = len(b"object" + second)
+            spoilt = resp.array(b"a", b"served", b"-", b"object").replace(b"$6\r\nob", b"$%d\r\nob" % size)
+            await stand_in.streams[0].send(spoilt + second)
+            while len(ended) < 2:
+                await anyio.sleep(0.005)
+            self.assertEqual(ended, ["broken", "broken"])
+
+        self.run_scenario(scenario)
+
     def test_removed_and_misbehaving_caches(self) -> None:
         logging.disable(logging.CRITICAL)
         self.addCleanup(logging.disable, logging.NOTSET)
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -127,11 +127,32 @@
             "waiting time that is no number": resp.array(b"a", b"served", b"took=soon", b""),
             "infinite waiting time": resp.array(b"a", b"served", b"took=inf", b""),
             "negative waiting time": resp.array(b"a", b"served", b"took=-1", b""),
-            "valid answer before garbage": good + b"noise that never ends" + good,
+            "valid answers before garbage": good + good.replace(b"a", b"b") + b"noise that never ends" + good,
             "gauges out of range": resp.array(b"a", b"overload", b"gauges=util:nan;x1:-1;x0:1e9", b""),
         }  # fmt: skip
         self.check("resp-broken", [f"{name}: {self.read([data])}" for name, data in cases.items()])
 
+    def test_answer_whose_length_is_too_short_is_not_returned(self) -> None:
+        """Against the failure in which the first part of an object was served as the whole: the length that
+        the cache gave ended at a line end of the object."""
+        lines = b"".join(b"line %02d\r\n" % number for number in range(20))
+        whole, good = resp.array(b"b", b"served", b"-", lines), resp.array(b"a", b"served", b"-", b"object")
+        for size in range(len(lines)):
+            spoilt = good + whole.replace(b"$%d\r\n" % len(lines), b"$%d\r\n" % size)
+            for most in (1, 2, 4):  # answers of a step
+                decoder = resp.Decoder()
+                answers, more = decoder.feed(spoilt, most), True
+                while more and (more := decoder.has_more):
+                    answers += decoder.feed(b"", most)
+                self.assertEqual([answer.ident for answer in answers], [b"a"], f"length {size}")
+                self.assertTrue(decoder.error)
+
+    def test_line_of_the_object_that_resembles_an_answer(self) -> None:
+        body = b"list\r\n*4 items\r\nend"
+        spoilt = resp.array(b"b", b"served", b"-", body).replace(b"$%d\r\n" % len(body), b"$4\r\n")
+        self.assertEqual(resp.Decoder().feed(spoilt), [])
+        self.assertEqual(resp.Decoder().feed(resp.array(b"b", b"served", b"-", body))[0].body, body)
+
 
 class Bulletin(TraceCase):
     def read(self, pieces: list[bytes], last: int = 40) -> list[str]:
