Requests no longer wait unread for seconds behind those that are taken back

Cause: one queue in rotation gave the usual connection one part in 301, and the work that decoded requests start was not limited. Nothing knew how long input had waited, so no request was refused in time.

Change: credit of a connection, in requests: used by each, returned by its answer; what is taken back or refused returns none. Connections with credit are read first, of the others one in each turn at least. A request that may have waited for a quarter of its objective (the limit that the router has for its own queue), or 50 ms without credit, is refused; refusing takes far less time than opening. What it waited is taken off its time.

--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -12,7 +12,7 @@
 import resource
 import signal
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING
 
 import anyio
@@ -21,12 +21,12 @@
 from damsonstream.program.config import Config, ConfigError
 from damsonstream.program.counters import Counters
 from damsonstream.protocol import bulletin, fastcgi, resp
-from damsonstream.routing import life
+from damsonstream.routing import admission, life
 from damsonstream.routing.gateway import TICKS_PER_MS, Clock, Gateway
 from damsonstream.routing.interface import PeerVerdict
 from damsonstream.transport.caches import CacheConnections
 from damsonstream.transport.feed import DiscoveryWatch
-from damsonstream.transport.front import Answer, ClientListener
+from damsonstream.transport.front import Answer, ClientListener, ReceivedGet
 
 if TYPE_CHECKING:  # imported at run time only if enabled, to keep the idle memory of a gateway small
     from damsonstream.program.gathering import PeerExchange
@@ -130,24 +130,17 @@
             self.recorder.bulletin_event(self.gateway.clock.now(), number, event)
         self.gateway.apply_bulletin(event)
 
-    def open_get(
-        self,
-        request: fastcgi.Request,
-        send_answer: Answer,
-        on_end: Callable[[], None],
-        is_connected: Callable[[], bool],
-    ) -> life.Get | None:
-        """Validates a GET and starts its task, at whose end `on_end` is called. Health checks and rejected
-        GETs are answered at once, and None is returned."""
+    def open_get(self, received: ReceivedGet) -> life.Get | None:
+        """Validates a GET and starts its task. Health checks and rejected GETs are answered at once, and None
+        is returned."""
+        request, send_answer = received.request, received.answer
         path, fields, id = request.fields.get(b"SCRIPT_NAME", b""), request.fields, request.id
         if path == HEALTH_PATH:
             send_answer(fastcgi.encode_answer(id, b"200 OK", [(b"Content-Type", b"text/plain")], b"ready\n"))
             return None
         self.counters.add("taken")
         if len(self.gateway.inboxes) >= self.config.most_open:
-            self.counters.add("shed")
-            self.record_rejection(fields, "shed", "overloaded")
-            send_answer(fastcgi.end_request(id, fastcgi.OVERLOADED))
+            self.refuse(request, send_answer)
             return None
 
         def finish(final: life.FinalAnswer) -> None:  # keeps the id but not the request, which may be large
@@ -161,10 +154,24 @@
             self.record_rejection(fields, "errored", "unusable")
             finish(life.FinalAnswer("errored"))
             return None
-        get.on_end, get.is_client_connected = on_end, is_connected
+        objective_ms = self.config.footprint.services[get.service].objective / TICKS_PER_MS
+        get.time_left_ms = admission.remaining_time_ms(
+            get.time_left_ms, 1000 * received.waited_s, objective_ms, received.has_credit
+        )
+        if not get.time_left_ms:
+            self.counters.add("waited")
+            self.refuse(request, send_answer)
+            return None
+        get.on_end, get.is_client_connected = received.on_end, received.is_connected
         self.get_tasks.start(get, finish)
         return get
 
+    def refuse(self, request: fastcgi.Request, send_answer: Answer) -> None:
+        """Refuses a GET because of overload; trying again is harmless."""
+        self.counters.add("shed")
+        self.record_rejection(request.fields, "shed", "overloaded")
+        send_answer(fastcgi.end_request(request.id, fastcgi.OVERLOADED))
+
     def read_get(self, request: fastcgi.Request) -> life.Get:
         """Returns the GET that a request asks for; raises KeyError or ValueError if a field is missing or has
         a value that must not be forwarded."""
--- a/damsonstream/transport/front.py
+++ b/damsonstream/transport/front.py
@@ -1,10 +1,10 @@
 """The FastCGI listener and its client connections: receives GETs and sends the final answers.
 
-Usage: `ClientListener(...).listen(host, port)` accepts connections. `open_get(request, answer, on_end)` is
-called for each GET and returns an object whose `client_left()` is called if the client disconnects or aborts.
-The memory of the GETs is limited and shared among the connections; a GET without room is refused. Answers are
-buffered per connection, so that a slow client does not block others. The total size of the buffers is
-limited: above it, connections whose clients have not kept up for longest are closed.
+Usage: `ClientListener(...).listen(host, port)` accepts connections. `open_get(received)` is called for each
+GET, a `ReceivedGet`, and returns an object whose `client_left()` is called if the client disconnects or
+aborts. The memory of the GETs is limited and shared among the connections; a GET without room is refused.
+Answers are buffered per connection, so that a slow client does not block others. The total size of the
+buffers is limited: above it, connections whose clients have not kept up for longest are closed.
 """
 
 from __future__ import annotations
@@ -14,12 +14,14 @@
 import socket
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from typing import Protocol
 
 import anyio
 
 from damsonstream.protocol import fastcgi
+from damsonstream.routing.admission import RequestCredit
 from damsonstream.transport.memory import ConnectionMemory, RequestMemory
 from damsonstream.transport.scheduling import InputScheduler, ScheduledConnection
 
@@ -40,9 +42,22 @@
 
 
 Answer = Callable[[bytes], None]  # takes the encoded FastCGI answer
-# The third argument is called when the GET has ended and needs no memory any more; the fourth returns whether
-# the client is still connected. Returns None if the GET was answered at once; it has ended then.
-GetOpener = Callable[[fastcgi.Request, Answer, Callable[[], None], Callable[[], bool]], OpenGet | None]
+
+
+@dataclass(slots=True, frozen=True)
+class ReceivedGet:
+    """A GET as it was received over a connection."""
+
+    request: fastcgi.Request
+    answer: Answer
+    on_end: Callable[[], None]  # called when the GET has ended and needs no memory any more
+    is_connected: Callable[[], bool]  # whether the client is still there
+    waited_s: float  # how long it may have waited before it was read, in seconds
+    has_credit: bool  # whether its connection had credit for it (routing/admission.py)
+
+
+# Returns None if the GET was answered at once; it has ended then.
+GetOpener = Callable[[ReceivedGet], OpenGet | None]
 
 
 class NoOpenGet:
@@ -63,6 +78,7 @@
         self.listener = listener
         self.memory = ConnectionMemory(listener.request_memory)
         self.decoder = fastcgi.Decoder(self.memory)
+        self.credit = RequestCredit()
         self.open_gets: dict[int, OpenGet] = {}  # by request id; removed on answer, abort and close
         self.incomplete_since = self.last_used  # when the input that is incomplete began to come in
         self.unsent_since = 0.0  # when data was sent last while none was unsent
@@ -76,6 +92,12 @@
         self.listener.add(self)
         super().connection_made(transport)
 
+    def is_favored(self) -> bool:
+        return self.credit.is_left(time.monotonic())
+
+    def is_worth_continuing(self) -> bool:
+        return self.is_connected()  # nothing is owed to a client that has left, whatever it had sent
+
     def process_input(self, data: bytes) -> bool:
         now = time.monotonic()
         if self.gets and not self.decoder.incomplete:  # before this data
@@ -105,20 +127,26 @@
         """Passes a received GET to the opener, with a function that sends its answer."""
         self.gets += 1
         self.last_used = self.incomplete_since = time.monotonic()
+        has_credit = self.credit.use(self.last_used)
         self.close_after_answers |= not get.keep_connection
         id, on_end = get.id, partial(self.memory.release, get.reserved_bytes)
 
         def answer(data: bytes) -> None:
-            if self.open_gets.pop(id, None) is None:
+            open_get = self.open_gets.pop(id, None)
+            if open_get is None:
                 return  # the client has disconnected or aborted
             self.decoder.release_id(id)
             self.last_used = time.monotonic()
+            if open_get is not NO_OPEN_GET:  # otherwise it was answered at once
+                self.credit.earn()
+                self.scheduler.promote(self)
             self.send(data)
             if self.close_after_answers and not self.open_gets:
                 self.close("asked", flush=True)
 
         self.open_gets[id] = NO_OPEN_GET
-        open_get = self.listener.open_get(get, answer, on_end, self.is_connected)
+        received = ReceivedGet(get, answer, on_end, self.is_connected, self.waited_s, has_credit)
+        open_get = self.listener.open_get(received)
         if open_get is not None:
             self.open_gets[id] = open_get
         else:
--- a/tests/flood.py
+++ b/tests/flood.py
@@ -1,21 +1,28 @@
 """A client or a cache that floods a gateway; tests start it as a process of its own.
 
 Usage: `python -m tests.flood KIND ADDRESS SECONDS`. A client sends what `CLIENT_INPUT` has under its kind, at
-full speed and without end, and reads what it is sent. A cache, of the kind `answers`, listens on the address
-and sends answers that nobody asked for on each connection.
+full speed and without end, and reads what it is sent. The kind `taken-back` does so on many connections: on
+each it sends as many requests as one may carry, takes them back, and begins again. A cache, of the kind
+`answers`, listens on the address and sends answers that nobody asked for on each connection.
 """
 
 from __future__ import annotations
 
+import os
+import random
+import selectors
 import socket
 import sys
 import threading
 import time
+from contextlib import suppress
 
 from damsonstream.protocol import fastcgi, resp
-from tests.helpers import BEGIN_CONTENT, get_records
+from tests.helpers import BEGIN_CONTENT, get_fields, get_records
 
 REPEATS = 4096  # of a message in one piece
+CONNECTIONS = 48  # of one process that takes requests back
+OPEN_REQUESTS = 32  # on one connection
 UNUSABLE = get_records(1, {"SCRIPT_NAME": "/v1/none"})
 # first what opens the flood, then what is repeated
 CLIENT_INPUT = {
@@ -60,6 +67,32 @@
                 time.sleep(0.1)
 
 
+def get_taken_back(rng: random.Random) -> bytes:
+    """Returns requests for objects that no other request is for, followed by the abort of each."""
+    idents = [f"{rng.getrandbits(64):016x}" for _ in range(OPEN_REQUESTS)]
+    requests = [get_records(id, get_fields(ident, HTTP_X_ROW=ident)) for id, ident in enumerate(idents, 1)]
+    aborts = [fastcgi.record(fastcgi.ABORT, id) for id, _ in enumerate(idents, 1)]
+    return b"".join(requests + aborts)
+
+
+def flood_taken_back(address: tuple[str, int], end: float) -> None:
+    rng, selector = random.Random(os.getpid()), selectors.DefaultSelector()
+    for _ in range(CONNECTIONS):
+        connection = socket.create_connection(address)
+        connection.setblocking(False)
+        selector.register(connection, selectors.EVENT_READ | selectors.EVENT_WRITE, bytearray())
+    while time.monotonic() < end:
+        for key, events in selector.select(0.1):
+            assert isinstance(key.fileobj, socket.socket)
+            connection, unsent = key.fileobj, key.data
+            with suppress(BlockingIOError):
+                if events & selectors.EVENT_READ and not connection.recv(1 << 16):
+                    raise ConnectionResetError("the gateway has closed a connection")
+                if events & selectors.EVENT_WRITE:
+                    unsent += b"" if unsent else get_taken_back(rng)
+                    del unsent[: connection.send(unsent)]
+
+
 def flood_as_cache(address: tuple[str, int], end: float) -> None:
     answers = resp.array(b"0" * 16, b"served", b"-", b"") * REPEATS
 
@@ -84,6 +117,8 @@
     end = time.monotonic() + float(seconds)
     if kind == "answers":
         flood_as_cache((host, int(port)), end)
+    elif kind == "taken-back":
+        flood_taken_back((host, int(port)), end)
     else:
         flood_as_client(kind, (host, int(port)), end)
 
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -338,6 +338,39 @@
     def test_unusable_requests(self) -> None:
         self.flood("unusable")
 
+    def test_requests_taken_back_on_many_connections(self) -> None:
+        """Against the failure in which requests lay unread for seconds, behind those that clients on hundreds
+        of connections sent and took back: a usual client sends as many as its connection may carry."""
+        ttl_s, latencies = 1.0, list[float]()
+
+        async def send_batch(client: SocketStream, number: int) -> None:
+            fields = [get_own_fields(f"{number:x}b{n:02x}b", HTTP_X_TTL_MS="1000") for n in range(32)]
+            started = time.monotonic()
+            await client.send(b"".join(get_records(n + 1, fields[n]) for n in range(32)))
+            await read_answers(client, 32)
+            latencies.append(time.monotonic() - started)  # of the last
+
+        async def scenario(group: TaskGroup) -> None:
+            async with run_gateway(group) as gateway:
+                address = f"{gateway.address[0]}:{gateway.address[1]}"
+                command = [sys.executable, "-m", "tests.flood", "taken-back", address, str(2 * FLOOD_S)]
+                floods = [subprocess.Popen(command, cwd=ROOT) for _ in range(FLOODS)]
+                try:
+                    await anyio.sleep(1.0)
+                    client, end, number = await gateway.connect(), time.monotonic() + FLOOD_S, 0
+                    while time.monotonic() < end:
+                        number += 1
+                        await send_batch(client, number)
+                        await anyio.sleep(0.05)
+                    codes = [await anyio.to_thread.run_sync(flood.wait) for flood in floods]
+                finally:
+                    for flood in floods:
+                        flood.kill()
+                self.assertEqual(codes, [0] * FLOODS)
+                self.assertLess(max(latencies), ttl_s + LATE_S)
+
+        self.run_scenario(scenario)
+
     def test_answers_that_nobody_asked_for(self) -> None:
         """A cache sends answers without end; GETs, also those that were sent to it, are answered in time."""
 
