Nothing is sent on for clients that have closed, and no id with an effect is sent twice

Cause: the end of a connection is read behind all input before it, so requests that waited unread were opened and sent first. An id was known only while its request was open, and a client that leaves ends its request.

The last 4,096 ids of requests with an effect that were sent and not refused are kept; one that comes again fails.

--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -182,7 +182,7 @@
         ident, object_id = fields[b"HTTP_X_TXN"], fields[b"HTTP_X_ROW"]
         if not (ID_PATTERN.fullmatch(ident) and ID_PATTERN.fullmatch(object_id)):
             raise ValueError
-        if ident in self.get_tasks.open_ids:  # a second GET with an open id would be confused with the first
+        if self.get_tasks.is_used(ident):  # it would be confused with the first one, or run again
             raise ValueError
         segment, group = fields.get(b"HTTP_X_SLICE", b"0"), parse_uint(fields[b"HTTP_X_SET"])
         if parse_uint(segment) > MAX_SEGMENT or group > MAX_GROUP:
--- a/damsonstream/routing/gateway.py
+++ b/damsonstream/routing/gateway.py
@@ -99,6 +99,7 @@
         peers: i.PeerGroup | None = None, hierarchy: i.Hierarchy | None = None,
     ) -> None:  # fmt: skip
         self.clock, self.router, self.observer = clock, Router(), observer
+        self.deployment = deployment
         self.inboxes: dict[int, Inbox[i.Action]] = {}  # by GET, until its task ends
         self.wake_times: list[int] = []  # heap of requested wake-up times
         self.loop: asyncio.AbstractEventLoop | None = None
--- a/damsonstream/routing/life.py
+++ b/damsonstream/routing/life.py
@@ -19,6 +19,7 @@
 from damsonstream.protocol import resp
 from damsonstream.routing import interface as i
 from damsonstream.routing.gateway import TICKS_PER_MS, Gateway, Inbox
+from damsonstream.routing.sent_ids import SentIds
 
 log = logging.getLogger(__name__)
 
@@ -117,6 +118,11 @@
         self.group: TaskGroup | None = None
         self.idle_tasks: list[asyncio.Future[Job]] = []
         self.open_ids: set[bytes] = set()  # client's ids of the open GETs
+        self.sent_ids = SentIds()  # of earlier GETs that may have run and have an effect
+
+    def is_used(self, ident: bytes) -> bool:
+        """Returns whether a GET with this id is open, or may have run with an effect."""
+        return ident in self.open_ids or ident in self.sent_ids
 
     def start(self, get: Get, answer: Callable[[FinalAnswer], None]) -> None:
         assert self.group is not None
@@ -137,15 +143,20 @@
 
     async def run(self, job: Job) -> None:
         get, answer = job
+        service = self.gateway.deployment.services[get.service]
         try:
-            await run_get(self.gateway, self.send, get, answer)
+            may_have_run = await run_get(self.gateway, self.send, get, answer)
+            if may_have_run and service.idempotency != "idempotent":
+                self.sent_ids.add(get.ident)
         finally:
             self.open_ids.discard(get.ident)
             get.on_end()
 
 
-async def run_get(gateway: Gateway, send: Sender, get: Get, answer: Callable[[FinalAnswer], None]) -> None:
-    """Carries out the router's actions for one GET until it is answered and all its forwards have ended."""
+async def run_get(gateway: Gateway, send: Sender, get: Get, answer: Callable[[FinalAnswer], None]) -> bool:
+    """Carries out the router's actions for one GET until it is answered and all its forwards have ended.
+    Returns whether it may have run: it was sent, and its client was not told that trying again is harmless.
+    """
     clock, inbox, pending, attempts, finished = (
         gateway.clock,
         get.inbox,
@@ -154,6 +165,7 @@
         False,
     )
     has_timeouts = False  # whether any forward has a timeout of its own
+    was_sent = was_shed = False
     deadline = clock.now() + get.time_left_ms * TICKS_PER_MS
     number, observer = gateway.register(inbox), gateway.observer  # type: ignore[arg-type]
 
@@ -175,20 +187,22 @@
         gateway.handle_event(event)
 
     def encode(attempt: int) -> resp.Command | None:
+        nonlocal was_sent
         if not get.is_client_connected():
             get.client_left()
             return None
         confirmed = None if finished else gateway.confirm_forward(number, attempt)
         if confirmed is None:
             return None
+        was_sent = True
         expires_at = pending[attempt].expires_at
         wait = (min(deadline, expires_at) if expires_at else deadline) - clock.now()
         return encode_forward(get, confirmed, wait)
 
     def send_answer(final: FinalAnswer, attempt: int = -1) -> None:
-        nonlocal finished
+        nonlocal finished, was_shed
         if not finished:
-            finished = True
+            finished, was_shed = True, final.outcome == "shed"
             answer(final)
             if observer is not None:
                 size = len(final.body)
@@ -277,6 +291,7 @@
         gateway.unregister(number)
         for forward in pending.values():
             forward.handle.stop()
+    return was_sent and not was_shed
 
 
 def encode_forward(get: Get, forward: i.Forward, wait: int) -> resp.Command:
--- a/tests/test_late_sends.py
+++ b/tests/test_late_sends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from copy import deepcopy
 from dataclasses import replace
@@ -12,6 +13,7 @@
 
 from damsonstream.protocol import bulletin
 from damsonstream.routing import interface as i
+from damsonstream.routing.sent_ids import SentIds
 from damsonstream.transport.caches import Connection
 from tests.helpers import ORDER, PAGES, TILES, RouterDriver, S, ScenarioCase, entry, get_fields, get_records
 from tests.test_gateway import SETTINGS, LoopbackFixture, read_answers
@@ -71,13 +73,13 @@
             client = await fixture.client()
             await client.send(get_records(1, get_fields("a0")))
             await fixture.wait_for_connection_attempt()
-            purged_at = time.time()
-            fixture.server.on_bulletin_event(bulletin.PurgeTold("", 17, int(purged_at * 1000)), 2)
+            issued_ms = int(time.time() * 1000)
+            fixture.server.on_bulletin_event(bulletin.PurgeTold("", 17, issued_ms), 2)
             await anyio.sleep(0.2)
             fixture.may_connect.set()
             await fixture.cache.wait_until(lambda: len(fixture.requests) == 1)
             fields = dict(pair.split("=") for pair in fixture.requests[0].split(","))
-            self.assertLessEqual(int(fields.get("newer", 1 << 30)), 1000 * (time.time() - purged_at))
+            self.assertLessEqual(int(fields.get("newer", 1 << 30)), 1000 * time.time() - issued_ms)
             self.assertLessEqual(int(fields["ms"]), 4900)  # the time that is left when it is sent
 
         self.run_scenario(scenario)
@@ -135,6 +137,57 @@
         self.run_scenario(scenario)
 
 
+class ClientLeft(ScenarioCase):
+    """Against the failures in which requests were sent on after their client had closed its connection."""
+
+    def test_requests_that_were_unread_when_their_client_closed(self) -> None:
+        """A client writes as many requests as a connection may carry, and closes it before any is read."""
+
+        async def scenario(group: TaskGroup) -> None:
+            fixture = LateFixture()
+            await fixture.start(group)
+            fixture.may_connect.set()
+            usual = await fixture.client()
+            await usual.send(get_records(1, get_fields("a0")))
+            await fixture.cache.wait_until(lambda: len(fixture.requests) == 1)  # a connection is up
+            with socket.create_connection(fixture.server.config.listen) as client:
+                for id in range(1, 33):
+                    client.sendall(get_records(id, get_fields(f"{id:x}b", HTTP_X_ROW=f"{id:016x}")))
+            while len(fixture.server.listener.clients) > 1 or fixture.server.counters.values()["taken"] == 1:
+                await anyio.sleep(0.005)
+            await anyio.sleep(0.2)
+            self.assertEqual(len(fixture.requests), 1)
+
+        self.run_scenario(scenario)
+
+    def test_id_that_comes_again_after_its_client_left_is_not_sent_again(self) -> None:
+        async def scenario(group: TaskGroup) -> None:
+            fixture = LateFixture()
+            await fixture.start(group, settings=get_settings())
+            fixture.may_connect.set()
+            records = get_records(1, get_fields("a0", SCRIPT_NAME="/v1/order", HTTP_X_TXN_KEY=TOKEN,
+                                                HTTP_X_TTL_MS="2000"))  # fmt: skip
+            client = await fixture.client()
+            await client.send(records)
+            await fixture.cache.wait_until(lambda: len(fixture.requests) == 1)
+            await client.aclose()
+            while fixture.server.get_tasks.open_ids:
+                await anyio.sleep(0.005)
+            client = await fixture.client()
+            await client.send(records)
+            answers = await read_answers(client, 1)
+            self.assertIn("500", answers[0])
+            self.assertEqual(len(fixture.requests), 1)
+
+        self.run_scenario(scenario)
+
+    def test_ids_that_are_remembered_are_bounded(self) -> None:
+        sent_ids = SentIds(max_ids=2)
+        for ident in (b"a", b"b", b"c"):
+            sent_ids.add(ident)
+        self.assertEqual([ident in sent_ids for ident in (b"a", b"b", b"c")], [False, True, True])
+
+
 class Confirmation(ScenarioCase):
     """The router confirms each forward at its first byte; what no longer holds is withdrawn."""
 
