A request with more than 256 fields is refused before the rest of them is decoded

Cause: parameters were limited in bytes and decoded whole, over a millisecond for each head.

Change: decoding ends at 256 fields, and the request is refused alone; the protocol has ten.

The test failed before (1,000 fields taken) and passes.

--- a/damsonstream/protocol/fastcgi.py
+++ b/damsonstream/protocol/fastcgi.py
@@ -22,6 +22,7 @@
 
 MAX_OPEN_REQUESTS = 32  # on one connection; set by the protocol
 MAX_PARAMS_BYTES = 16_384  # of one GET: ten short fields and what a web server adds
+MAX_FIELDS = 256  # of one GET; decoding more takes too long
 MAX_BODY_BYTES = 48_000  # of a write; set by the protocol
 MAX_GET_VALUES_BYTES = 1024  # of a GET_VALUES query; only three short names are defined
 BEGIN_CONTENT_BYTES = 8  # of a BEGIN_REQUEST record
@@ -43,6 +44,10 @@
     """Malformed data from the peer; the text is the reason code."""
 
 
+class TooManyFieldsError(Exception):
+    """A GET has more parameters than `MAX_FIELDS`."""
+
+
 class RequestBudget(Protocol):
     """The memory that the requests of one connection may use, in bytes."""
 
@@ -117,11 +122,14 @@
 
 
 def parse_pairs(data: bytes) -> dict[bytes, bytes]:
-    """Decodes name-value pairs, in which each length takes one byte or four."""
+    """Decodes name-value pairs, in which each length takes one byte or four. Raises `TooManyFieldsError`."""
     result: dict[bytes, bytes] = {}
-    offset, end = 0, len(data)
+    offset, end, count = 0, len(data), 0
     try:
         while offset < end:
+            count += 1
+            if count > MAX_FIELDS:
+                raise TooManyFieldsError
             name_length, value_length, offset = data[offset], data[offset + 1], offset + 2
             if name_length & 0x80 or value_length & 0x80:  # at least one length takes four bytes
                 offset -= 2
@@ -320,8 +328,13 @@
         return None
 
     def end_params(self, partial: PartialRequest) -> Message | None:
-        """Decodes the parameters of a GET. Decoded, they may take far more memory than on the wire."""
-        fields = parse_pairs(bytes(partial.params))
+        """Decodes the parameters of a GET, which is refused if it has too many. Decoded, they may take far
+        more memory than on the wire."""
+        try:
+            fields = parse_pairs(bytes(partial.params))
+        except TooManyFieldsError:
+            self.refuse(partial)
+            return ManagementReply(end_request(partial.id, OVERLOADED))
         if not self.reserve(partial, FIELD_BYTES * len(fields)):
             return ManagementReply(end_request(partial.id, OVERLOADED))
         partial.fields = fields
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -371,6 +371,16 @@
 
         self.run_scenario(scenario)
 
+    def test_too_many_fields_are_refused_alone(self) -> None:
+        """Against the failure in which heads of thousands of short fields on many connections kept a gateway
+        from all other clients for seconds."""
+        decoder = fastcgi.Decoder()
+        for id, (count, is_whole) in enumerate(((200, True), (1_000, False)), 1):
+            fields = {f"FIELD_{n}": "" for n in range(count)}
+            message = decoder.feed(get_records(id, fields))[0]
+            self.assertEqual(isinstance(message, fastcgi.Request), is_whole)
+        self.assertEqual(decoder.refused, 1)
+
     def test_answers_that_nobody_asked_for(self) -> None:
         """A cache sends answers without end; GETs, also those that were sent to it, are answered in time."""
 
