Ports of the tests' fleets are held until their gateways start

Cause: free_port closed the socket before it returned the number, so a number was drawn twice, or taken by a fleet beside it.

Change: HeldPort keeps the number bound until the gateway's first start.

Evidence: the test draws a held number again and gets another one; free_port, by its text, gave it back.

--- a/damsonstream/demo/fleet.py
+++ b/damsonstream/demo/fleet.py
@@ -8,9 +8,7 @@
 
 import json
 import os
-import secrets
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -21,6 +19,7 @@
 import anyio
 
 import damsonstream
+from damsonstream.demo.ports import HeldPort
 from damsonstream.demo.scenario import ClockSkew
 from damsonstream.standins.servers import LOOPBACK
 
@@ -28,22 +27,6 @@
 STOP_TIMEOUT = 8.0  # seconds for a gateway to exit after SIGTERM
 
 
-PORTS = range(12_000, 30_000)  # below the ephemeral ports, which the system may assign meanwhile
-
-
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Returns a free port; a random one, so that concurrent runs rarely collide."""
-    for _ in range(1000):
-        port = secrets.choice(PORTS)
-        with socket.socket(socket.AF_INET, kind) as probe:
-            try:
-                probe.bind((LOOPBACK, port))
-            except OSError:
-                continue
-            return port
-    raise OSError("no port is free")
-
-
 def base_command() -> list[str]:
     """Returns the command line of this program: from the sources in the current folder, or as installed."""
     here = Path(damsonstream.__file__).parents[1] == Path.cwd()
@@ -70,7 +53,8 @@
         self.operator_kdl = operator_kdl
         self.folder, self.records_folder, self.names, self.config_for = folder, records, names, config_for
         self.clocks = {clock.gateway: clock for clock in clocks}
-        self.addresses = {name: (LOOPBACK, free_port()) for name in names}
+        self.held_ports = {name: [HeldPort()] for name in names}  # of a gateway until its first start
+        self.addresses = {name: (LOOPBACK, ports[0].number) for name, ports in self.held_ports.items()}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.start_counts = {name: 0 for name in names}
 
@@ -90,6 +74,7 @@
     async def start(self, name: str) -> None:
         self.start_counts[name] += 1
         config_path, operator_path = self.write_config(name)
+        self.release_ports(name)
         with (self.folder / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
                 [*base_command(), "serve", "--config", str(config_path), "--operator", str(operator_path)],
@@ -108,6 +93,11 @@
             return
         raise RuntimeError(f"gateway {name} did not start; see {self.folder / f'{name}.log'}")
 
+    def release_ports(self, name: str) -> None:
+        """Lets a gateway bind its ports."""
+        for port in self.held_ports.pop(name, ()):
+            port.release()
+
     def kill(self, name: str) -> None:
         self.processes[name].send_signal(signal.SIGKILL)
         self.processes.pop(name).wait()
@@ -144,6 +134,8 @@
 
     def kill_all(self) -> None:
         """Kills all remaining processes, also after a failure of the run."""
+        for name in list(self.held_ports):
+            self.release_ports(name)
         for process in self.processes.values():
             if process.poll() is None:
                 os.kill(process.pid, signal.SIGKILL)
--- a/damsonstream/together/rig.py
+++ b/damsonstream/together/rig.py
@@ -18,7 +18,8 @@
 
 from damsonstream.demo import runner as demo
 from damsonstream.demo.configuration import PROFILES, TOKEN_TTL
-from damsonstream.demo.fleet import Fleet, free_port
+from damsonstream.demo.fleet import Fleet
+from damsonstream.demo.ports import HeldPort
 from damsonstream.demo.scenario import Scenario
 from damsonstream.peers.agent import hash_zone as zone_digest
 from damsonstream.peers.agent import source_id
@@ -65,7 +66,10 @@
         features = "".join(f"    {name} #{str(name not in without).lower()}\n" for name in FEATURES)
         operator = f"peers {{\n{features}}}\n" + ('tiers "tiers.kdl"\n' if script.zones else "")
         self.fleet = Fleet(folder, folder / "records", self.gateway_names, (), self.gateway_config, operator)
-        self.peer_ports = {name: free_port(socket.SOCK_DGRAM) for name in self.gateway_names}
+        held_ports = {name: HeldPort(socket.SOCK_DGRAM) for name in self.gateway_names}
+        for name, port in held_ports.items():
+            self.fleet.held_ports[name].append(port)
+        self.peer_ports = {name: port.number for name, port in held_ports.items()}
         self.generator = LoadGenerator(self.fleet.addresses, self.catalogue, self.stand_ins.now, seed + 1)
         self.generator.weights = script.weights
         self.seen = Observations(self.gateway_names)
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import socket
 import subprocess
 import sys
 import tempfile
@@ -11,8 +12,11 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
+from damsonstream.demo.ports import HeldPort
 from damsonstream.settings import kdl
+from damsonstream.standins.servers import LOOPBACK
 from damsonstream.together import script
 from damsonstream.together.checks import Check, Forwarded, Observations, evaluate_check
 from damsonstream.together.links import CLEAR, LinkFault, Links
@@ -75,6 +79,22 @@
         self.assertEqual(lines, wanted)
 
 
+class Ports(unittest.TestCase):
+    def test_port_is_held_until_its_process_starts(self) -> None:
+        """Against the failure in which a fleet drew one port twice, or another fleet took it meanwhile, so
+        that a gateway did not start."""
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            first = HeldPort(kind)
+            draws = [first.number, first.number, first.number + 1, first.number + 2, first.number + 3]
+            with mock.patch("damsonstream.demo.ports.secrets.choice", side_effect=draws):
+                second = HeldPort(kind)
+            self.assertNotEqual(first.number, second.number)
+            first.release()
+            with socket.socket(socket.AF_INET, kind) as listener:
+                listener.bind((LOOPBACK, first.number))
+            second.release()
+
+
 class Scripts(unittest.TestCase):
     def fault(self, text: str) -> str:
         """Returns the error message for a malformed script."""
