--- a/tests/test_late_sends.py
+++ b/tests/test_late_sends.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import anyio
-from anyio.abc import TaskGroup
+from anyio.abc import SocketStream, TaskGroup
 
 from damsonstream.protocol import bulletin
 from damsonstream.routing import interface as i
@@ -23,6 +23,9 @@
 ORDER_LANE = {"name": "order", "onTime": 600000, "hardLimit": 3000000, "idempotency": "deduplicated",
               "keyScope": "all", "dedupWindow": int(WINDOW_S * 1e6)}  # fmt: skip
 
+ORDER_FIELDS = get_fields("a0", SCRIPT_NAME="/v1/order", HTTP_X_TXN_KEY=TOKEN, HTTP_X_TTL_MS="2000")
+ORDER_RECORDS = get_records(1, ORDER_FIELDS)
+
 
 def get_settings(**limits: Any) -> dict[str, Any]:
     """Returns settings with a second lane, whose requests have a token."""
@@ -47,6 +50,14 @@
 
         connections.run_connection = connects_late  # type: ignore[method-assign]
 
+    async def start_waiting(self, group: TaskGroup, **changes: Any) -> SocketStream:
+        """Starts the gateway, and a GET whose forward waits for its connection; returns its client."""
+        await self.start(group, **changes)
+        self.waiting_client = await self.client()
+        await self.waiting_client.send(get_records(1, get_fields("a0")))
+        await self.wait_for_connection_attempt()
+        return self.waiting_client
+
     async def wait_for_connection_attempt(self) -> None:
         while not any(c.transport is None for c in self.server.cache_connections.open_connections):
             await anyio.sleep(0.005)
@@ -69,10 +80,7 @@
     def test_purge_told_while_a_forward_waits_bounds_the_age(self) -> None:
         async def scenario(group: TaskGroup) -> None:
             fixture = LateFixture()
-            await fixture.start(group)
-            client = await fixture.client()
-            await client.send(get_records(1, get_fields("a0")))
-            await fixture.wait_for_connection_attempt()
+            await fixture.start_waiting(group)
             issued_ms = int(time.time() * 1000)
             fixture.server.on_bulletin_event(bulletin.PurgeTold("", 17, issued_ms), 2)
             await anyio.sleep(0.2)
@@ -87,10 +95,7 @@
     def test_source_that_drains_while_a_forward_waits_is_not_named(self) -> None:
         async def scenario(group: TaskGroup) -> None:
             fixture = LateFixture()
-            await fixture.start(group)
-            client = await fixture.client()
-            await client.send(get_records(1, get_fields("a0")))
-            await fixture.wait_for_connection_attempt()
+            await fixture.start_waiting(group)
             fixture.list_parent("leaving")
             fixture.may_connect.set()
             await fixture.cache.wait_until(lambda: len(fixture.requests) == 1)
@@ -106,8 +111,7 @@
             await fixture.start(group, settings=get_settings())
             fixture.may_connect.set()
             client = await fixture.client()
-            fields = get_fields("a0", SCRIPT_NAME="/v1/order", HTTP_X_TXN_KEY=TOKEN, HTTP_X_TTL_MS="2000")
-            await client.send(get_records(1, fields))
+            await client.send(ORDER_RECORDS)
             await fixture.cache.wait_until(lambda: len(fixture.requests) == 1)
             fixture.may_connect = anyio.Event()
             await fixture.cache.streams[0].aclose()
@@ -123,10 +127,7 @@
     def test_client_that_left_gets_nothing_sent_where_recalls_are_forbidden(self) -> None:
         async def scenario(group: TaskGroup) -> None:
             fixture = LateFixture()
-            await fixture.start(group, settings=get_settings(cancel=False))
-            client = await fixture.client()
-            await client.send(get_records(1, get_fields("a0")))
-            await fixture.wait_for_connection_attempt()
+            client = await fixture.start_waiting(group, settings=get_settings(cancel=False))
             await client.aclose()
             while fixture.server.listener.clients:
                 await anyio.sleep(0.005)
@@ -165,16 +166,14 @@
             fixture = LateFixture()
             await fixture.start(group, settings=get_settings())
             fixture.may_connect.set()
-            records = get_records(1, get_fields("a0", SCRIPT_NAME="/v1/order", HTTP_X_TXN_KEY=TOKEN,
-                                                HTTP_X_TTL_MS="2000"))  # fmt: skip
             client = await fixture.client()
-            await client.send(records)
+            await client.send(ORDER_RECORDS)
             await fixture.cache.wait_until(lambda: len(fixture.requests) == 1)
             await client.aclose()
             while fixture.server.get_tasks.open_ids:
                 await anyio.sleep(0.005)
             client = await fixture.client()
-            await client.send(records)
+            await client.send(ORDER_RECORDS)
             answers = await read_answers(client, 1)
             self.assertIn("500", answers[0])
             self.assertEqual(len(fixture.requests), 1)
