Input counts as waiting only while other connections are served before it

Cause: the first form counted all time since a connection was first paused, also its own turns and moments in which the process stood still, so that a burst on one connection could have been refused without anybody before it.

Change: the time in the queue counts if others were served before the connection.

--- a/damsonstream/transport/scheduling.py
+++ b/damsonstream/transport/scheduling.py
@@ -93,7 +93,9 @@
         self.slice_used = 0.0  # seconds, in that turn
         self.unprocessed = b""  # one read of a connection without precedence
         self.is_waiting = False  # in a queue of the scheduler, and not read
-        self.waiting_since = 0.0  # when input that is processed now may have arrived; 0: just now
+        self.queued_at, self.queued_turn = 0.0, 0  # time and turn
+        # how long input that is processed now may have waited behind that of other connections, in seconds
+        self.waited_s = 0.0
 
     def process_input(self, data: bytes) -> bool:
         """Processes a few messages of the input; returns whether a call without data may process more."""
@@ -107,11 +109,6 @@
         """Returns whether input that waited is still to be processed; otherwise the connection is closed."""
         return True
 
-    @property
-    def waited_s(self) -> float:
-        """How long the input that is processed now may have waited, in seconds."""
-        return time.monotonic() - self.waiting_since if self.waiting_since else 0.0
-
     def handle_data(self, data: bytes) -> None:
         self.scheduler.schedule_turn()
         if not self.is_favored():
@@ -120,7 +117,7 @@
         elif self.use_slice(data):
             self.pause_input()
         elif len(data) < READ_BYTES:  # otherwise there may be more to read that waited as long
-            self.waiting_since = 0.0
+            self.waited_s = 0.0
 
     def use_slice(self, data: bytes) -> bool:
         """Processes input until it or the slice of this turn is used up; returns whether to stop reading."""
@@ -139,7 +136,7 @@
         if (transport := self.usable_transport) is not None:
             transport.pause_reading()
             self.is_waiting = True
-            self.waiting_since = self.waiting_since or time.monotonic()
+            self.queued_at, self.queued_turn = time.monotonic(), self.scheduler.turn
             self.scheduler.enqueue(self)
 
     def continue_input(self) -> None:
@@ -147,6 +144,8 @@
         self.is_waiting = False
         if self.usable_transport is None:
             return
+        if self.scheduler.turn > self.queued_turn + 1:  # others were served before it
+            self.waited_s += time.monotonic() - self.queued_at
         if not self.is_worth_continuing():
             self.close("closed")
             return
@@ -165,7 +164,7 @@
     def end_wait(self) -> None:
         """Called by the scheduler when the input that had arrived while nothing was read has been read."""
         if not self.is_waiting:
-            self.waiting_since = 0.0
+            self.waited_s = 0.0
 
     def connection_lost(self, error: Exception | None) -> None:
         self.scheduler.discard(self)
