A query with too many names ends its connection with a reason, not with a trace

Change: it is a ProtocolError with the reason oversize. Evidence: the test failed on the type of the error before it was one (by reading: TooManyFieldsError was no ProtocolError), and passes now.

--- a/damsonstream/protocol/fastcgi.py
+++ b/damsonstream/protocol/fastcgi.py
@@ -44,8 +44,8 @@
     """Malformed data from the peer; the text is the reason code."""
 
 
-class TooManyFieldsError(Exception):
-    """A GET has more parameters than `MAX_FIELDS`."""
+class TooManyFieldsError(ProtocolError):
+    """There are more name-value pairs than `MAX_FIELDS`."""
 
 
 class RequestBudget(Protocol):
@@ -129,7 +129,7 @@
         while offset < end:
             count += 1
             if count > MAX_FIELDS:
-                raise TooManyFieldsError
+                raise TooManyFieldsError("oversize")
             name_length, value_length, offset = data[offset], data[offset + 1], offset + 2
             if name_length & 0x80 or value_length & 0x80:  # at least one length takes four bytes
                 offset -= 2
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -381,6 +381,11 @@
             self.assertEqual(isinstance(message, fastcgi.Request), is_whole)
         self.assertEqual(decoder.refused, 1)
 
+    def test_query_with_too_many_names_ends_its_connection(self) -> None:
+        pairs = b"".join(fastcgi.pair(pack(">H", number), b"") for number in range(256))
+        with self.assertRaisesRegex(fastcgi.ProtocolError, "oversize"):
+            fastcgi.Decoder().feed(fastcgi.record(fastcgi.GET_VALUES, 0, pairs + fastcgi.pair(b"", b"")))
+
     def test_answers_that_nobody_asked_for(self) -> None:
         """A cache sends answers without end; GETs, also those that were sent to it, are answered in time."""
 
