A write whose CONTENT_LENGTH does not fit its body fails instead of being run

Cause: the end of STDIN counted as the end of the body; CONTENT_LENGTH was not read. Change: read_get refuses the request as unusable if the field is neither empty nor the size of the body.

--- a/damsonstream/program/serve.py
+++ b/damsonstream/program/serve.py
@@ -184,6 +184,9 @@
             raise ValueError
         if self.get_tasks.is_used(ident):  # it would be confused with the first one, or run again
             raise ValueError
+        body_length = fields.get(b"CONTENT_LENGTH", b"")  # absent or empty: not told
+        if body_length and parse_uint(body_length) != len(request.body):
+            raise ValueError
         segment, group = fields.get(b"HTTP_X_SLICE", b"0"), parse_uint(fields[b"HTTP_X_SET"])
         if parse_uint(segment) > MAX_SEGMENT or group > MAX_GROUP:
             raise ValueError
--- a/tests/test_late_sends.py
+++ b/tests/test_late_sends.py
@@ -138,6 +138,28 @@
         self.run_scenario(scenario)
 
 
+class BodyLength(ScenarioCase):
+    def test_write_whose_length_does_not_fit_its_body_is_not_sent(self) -> None:
+        """Against the failure in which a write that was cut short was run, and answered as served."""
+
+        async def scenario(group: TaskGroup) -> None:
+            fixture = LateFixture()
+            await fixture.start(group)
+            fixture.may_connect.set()
+            client = await fixture.client()
+            for length in ("7", "5", "-6", "six"):
+                fields = get_fields(f"a{len(length)}{length[-1]}".replace("x", "0"), CONTENT_LENGTH=length)
+                await client.send(get_records(1, fields, b"object"))
+                self.assertIn("500", (await read_answers(client, 1))[0])
+            self.assertEqual(fixture.requests, [])
+            for number, length in enumerate(("6", "")):
+                fields = get_fields(f"b{number}", CONTENT_LENGTH=length)
+                await client.send(get_records(2 + number, fields, b"object"))
+            await fixture.cache.wait_until(lambda: len(fixture.requests) == 2)
+
+        self.run_scenario(scenario)
+
+
 class ClientLeft(ScenarioCase):
     """Against the failures in which requests were sent on after their client had closed its connection."""
 
