A connection asks with one poll object whether its peer has closed

A profile showed the look-up of the descriptor for each question, and two more turns of the event loop whenever a connection was read again.

Change: the poll object is made with the connection; the further turns come only where input has waited.

--- a/damsonstream/transport/link.py
+++ b/damsonstream/transport/link.py
@@ -26,6 +26,7 @@
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
+        self.close_poll = select.poll()  # tells whether the peer has closed the connection
         self.reason = ""  # reason code of the close; empty while the connection is usable
         self.last_used = time.monotonic()
 
@@ -42,6 +43,7 @@
             established.abort()
             return
         self.transport = established
+        self.close_poll.register(established.get_extra_info("socket").fileno(), select.POLLRDHUP)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return self.read_buffer
@@ -77,14 +79,9 @@
 
     def is_connected(self) -> bool:
         """Returns whether the peer has not closed the connection. Input before a close may be unread."""
-        if self.reason or self.transport is None:
+        if self.reason or self.transport is None or self.transport.is_closing():
             return False
-        descriptor = self.transport.get_extra_info("socket").fileno()
-        if descriptor < 0:
-            return False
-        poll = select.poll()
-        poll.register(descriptor, select.POLLRDHUP)
-        return not poll.poll(0)
+        return not self.close_poll.poll(0)
 
     @property
     def unsent_bytes(self) -> int:
--- a/damsonstream/transport/scheduling.py
+++ b/damsonstream/transport/scheduling.py
@@ -55,7 +55,7 @@
         self.others.pop(connection, None)
 
     def note_resumed(self, connection: ScheduledConnection) -> None:
-        """Called when a connection is read again."""
+        """Called when a connection whose input has waited is read again."""
         self.resumed.append(connection)
         self.schedule_turn()
 
@@ -159,7 +159,8 @@
             self.pause_input()
         elif (transport := self.usable_transport) is not None:
             transport.resume_reading()
-            self.scheduler.note_resumed(self)
+            if self.waited_s:
+                self.scheduler.note_resumed(self)
 
     def end_wait(self) -> None:
         """Called by the scheduler when the input that had arrived while nothing was read has been read."""
